Many nodes: reporters, homes of groups and signs of life by the ring; no talk of all to all

Cause: what every node told every other, and probed at every server, was paid by few tunnels; room was learned from sums that nobody had; hardly a node knew where a group was held, so each server held a copy of each. Change: an ep's reporter probes for all and tells all; a group's keeper tells all its homes; two neighbours watch a node; only records whose chain changed go out again; mid-flow asks the tail and its neighbours; list calls spread by the number of nodes; the gate's floor shared. Sums stay where the tunnels pay for them (small fleets).

--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -110,32 +110,32 @@
 
 class Balancer {
   public:
-    Balancer(Terms terms, Host& host, Tenths now);
-    ~Balancer();
+    static std::unique_ptr<Balancer> start(Terms terms, Host& host, Tenths now);
+    Balancer() = default;
+    Balancer(const Balancer&) = delete;
+    Balancer& operator=(const Balancer&) = delete;
+    virtual ~Balancer() = default;
 
     // The clock; every other call happens at the time last told.
-    void at(Tenths now);
+    virtual void at(Tenths now) = 0;
     // The list of eps: begin, an entry a call, end.
-    void list_begin(ListKind kind);
-    void listed(std::uint32_t ep, std::uint32_t zone, std::uint32_t cell, Life life, double size,
-                Tenths started);
-    void list_end();
+    virtual void list_begin(ListKind kind) = 0;
+    virtual void listed(std::uint32_t ep, std::uint32_t zone, std::uint32_t cell, Life life, double size,
+                        Tenths started) = 0;
+    virtual void list_end() = 0;
     // Tunnels.
-    void arrive(std::uint64_t tun, const Arrival& arrival);
-    void adopt(std::uint64_t tun, const Arrival& arrival, std::uint32_t ep);
-    void begun(std::uint64_t tun, int setup, std::uint32_t ep, Tenths took);
-    void ended(std::uint64_t tun, int setup, std::uint32_t ep, Ending ending, Tenths took, bool settled);
-    void client_left(std::uint64_t tun);
-    void load_changed(std::uint64_t tun, double load);  // a share of a standard core
-    void messages_slow(std::uint64_t tun, std::uint32_t ep, Tenths takes);
+    virtual void arrive(std::uint64_t tun, const Arrival& arrival) = 0;
+    virtual void adopt(std::uint64_t tun, const Arrival& arrival, std::uint32_t ep) = 0;
+    virtual void begun(std::uint64_t tun, int setup, std::uint32_t ep, Tenths took) = 0;
+    virtual void ended(std::uint64_t tun, int setup, std::uint32_t ep, Ending ending, Tenths took,
+                       bool settled) = 0;
+    virtual void client_left(std::uint64_t tun) = 0;
+    virtual void load_changed(std::uint64_t tun, double load) = 0;  // a share of a standard core
+    virtual void messages_slow(std::uint64_t tun, std::uint32_t ep, Tenths takes) = 0;
     // The rest.
-    void probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report);
-    void told(std::uint32_t node, std::span<const std::uint8_t> bytes);
-    void woken(std::uint64_t label);
-
-  private:
-    struct Mind;
-    std::unique_ptr<Mind> mind_;
+    virtual void probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report) = 0;
+    virtual void told(std::uint32_t node, std::span<const std::uint8_t> bytes) = 0;
+    virtual void woken(std::uint64_t label) = 0;
 };
 
 }  // namespace lemonstair
--- /dev/null
+++ b/src/balance/record_table.h
@@ -0,0 +1,67 @@
+// RecordTable: the newest record of each key, and what these records add up to. Of equal stamps the larger ep
+// id stays, so that every node settles on the same.
+#pragma once
+#include <cstdint>
+
+#include "balance/balance.h"
+#include "balance/group_table.h"
+#include "balance/id_index.h"
+#include "balance/slab.h"
+
+namespace lemonstair {
+
+struct Record {
+    std::uint64_t key = 0;
+    Tenths stamp = 0, heard = 0;
+    std::uint32_t ep = 0, group = 0;
+    double load = 0;
+    bool sampled = false;  // held as the carrier or on the chain, not for the group
+};
+
+class RecordTable {
+  public:
+    const Record* find(std::uint64_t key) const {
+        const std::uint32_t at = index_.find(key);
+        return at == IdIndex::none ? nullptr : &records_[at];
+    }
+    // False where a newer record stands.
+    bool put(const Record& r) {
+        std::uint32_t at = index_.find(r.key);
+        if (at == IdIndex::none) {
+            at = records_.take();
+            index_.put(r.key, at);
+        } else {
+            const Record& old = records_[at];
+            if (old.stamp > r.stamp || (old.stamp == r.stamp && old.ep > r.ep)) return false;
+            count(old, -1);
+        }
+        records_[at] = r;
+        count(r, 1);
+        return true;
+    }
+    void drop(std::uint64_t key) {
+        const std::uint32_t at = index_.find(key);
+        if (at == IdIndex::none) return;
+        count(records_[at], -1);
+        index_.drop(key);
+        records_.give_back(at);
+    }
+    void drop_unheard_since(Tenths when) {
+        for (std::uint32_t i = 0; i < records_.places(); ++i)
+            if (records_.used(i) && records_[i].heard < when) drop(records_[i].key);
+    }
+    const GroupTable& groups() const { return groups_; }
+    double sampled_load() const { return sampled_load_; }
+
+  private:
+    void count(const Record& r, int by) {
+        groups_.add(r.group, r.ep, by);
+        if (r.sampled) sampled_load_ += by * r.load;
+    }
+    IdIndex index_;
+    Slab<Record> records_;
+    GroupTable groups_;
+    double sampled_load_ = 0;
+};
+
+}  // namespace lemonstair
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -1,11 +1,20 @@
 // What a node keeps of tunnels, eps, records and other nodes. Nothing is decided here.
 #pragma once
+#include <algorithm>
 #include <array>
 #include <cstdint>
+#include <cstdio>
+#include <random>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "balance/balance.h"
 #include "balance/id_index.h"
+#include "balance/record_table.h"
+#include "balance/ring.h"
+#include "balance/slab.h"
+#include "peer/outbox.h"
 
 namespace lemonstair {
 
@@ -22,7 +31,7 @@
     double load = 0;
     std::uint32_t profile = 0, group = 0, ep = none, ran_ep = none;
     std::array<std::uint32_t, 4> tried{none, none, none, none};
-    int setups = 0, unknowing = 0;
+    int setups = 0, unknowing = 0, asked = 0;
     State state = State::idle;
     bool keyed = false, mid_flow = false, asked_all = false;
 };
@@ -39,15 +48,12 @@
     Tenths told_at = 0, started = 0, listed_start = 0, probed_at = -never, aside_at = 0, trial_at = 0,
            probe_good_at = -never, good_at = -never, cold_at = 0;
     Tenths slow_at = -never, slow_since = 0, slow_by = 0, moved_at = 0;
-    std::uint32_t carried = 0, groups = 0, unanswered = 0;
-    std::vector<double> others;  // load that each other node carries there, as it last said
-};
-
-struct Record {
-    std::uint64_t key = 0;
-    Tenths stamp = 0, heard = 0;
-    std::uint32_t ep = 0, group = 0;
-    double load = 0;
+    std::uint32_t carried = 0, unanswered = 0;
+    std::vector<double> others;           // load that each other node carries there, as it last said
+    double elsewhere = 0;                 // their sum
+    double x = Report::none, x_told = 0;  // load over what it can do, as last reported; as last told to all
+    Tenths x_at = -never, x_told_at = -never;
+    bool bad_told = false;
 };
 
 struct Placed {
@@ -56,6 +62,8 @@
     double load = 0;
 };
 
+using Two = std::array<std::uint32_t, 2>;
+
 struct Mean {
     double value = 0;
     int count = 0;
@@ -66,8 +74,81 @@
 };
 
 struct Peer {
-    Tenths heard = 0;
+    Tenths heard = 0, summed = -never;  // summed: when it last told what it carries
     bool lives = true;
 };
 
+inline std::uint64_t hash_text(std::string_view text) {
+    std::uint64_t h = 0xcbf29ce484222325ULL;
+    for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    return mix(h);
+}
+
+// All that one node remembers.
+struct Memory {
+    Memory(Terms given, Host& to, Tenths at)
+        : terms(std::move(given)),
+          host(to),
+          now(at),
+          born(at),
+          peers(std::max<std::size_t>(terms.nodes, terms.me + 1)),
+          outbox(to, peers.size()),
+          profile_load(terms.profiles.size()) {
+        rng.seed(terms.seed);
+        sums_known = peers.size() == 1;
+        for (auto& p : peers) p.heard = now;
+        ring.build(static_cast<std::uint32_t>(peers.size()));
+        for (const auto& p : terms.profiles) {
+            mean_credit += p.credit / static_cast<double>(terms.profiles.size());
+            longest_timeout = std::max(longest_timeout, p.client_timeout);
+            if (p.message_goal > 0) quickest_message = std::min(quickest_message, p.message_goal);
+        }
+        if (mean_credit <= 0) mean_credit = 1;
+    }
+    double draw() {
+        return static_cast<double>(rng() - std::minstd_rand::min()) /
+               (static_cast<double>(std::minstd_rand::max() - std::minstd_rand::min()) + 1.0);
+    }
+    template <class... Figures>
+    void say(const char* format, Figures... figures) {
+        std::array<char, 160> line{};
+        const int n = std::snprintf(line.data(), line.size(), format, figures...);
+        host.log({line.data(), std::min(static_cast<std::size_t>(std::max(n, 0)), line.size() - 1)});
+    }
+    Ep* ep_of(std::uint32_t id) {
+        const std::uint32_t at = ep_index.find(id);
+        return at == none ? nullptr : &eps[at];
+    }
+    Tenths draw_span(Tenths below) { return static_cast<Tenths>(draw() * static_cast<double>(below)); }
+
+    Terms terms;
+    Host& host;
+    Tenths now, born;
+    std::minstd_rand rng;
+    std::vector<Ep> eps;
+    IdIndex ep_index, tun_index, home_index, crossings, asking;
+    Slab<Tun> tuns;
+    RecordTable records;
+    std::vector<Peer> peers;
+    Ring ring;
+    peer::Outbox outbox;
+    std::vector<Placed> placed;
+    std::vector<double> weights;
+    std::vector<Mean> profile_load;
+    Mean any_load;
+    std::vector<std::uint32_t> held, retrying;
+    Two watched{none, none};  // the nodes whose signs of life are awaited here
+    ListKind list_kind = ListKind::remembered;
+    Tenths ask_list_at = 0, last_report = 0, last_scan = 0, last_sign = 0;
+    Tenths quickest_message = never, longest_timeout = 0;
+    Tenths report_pause = second, tell_pause = second;
+    double opened_lately = 0, ended_lately = 0, tried_lately = 0, failed_lately = 0, placed_lately = 0;
+    double mean_credit = 0, moves_left = 0;
+    double room_a_size = 1, fleet_load = 0, ends_a_second = 0;
+    std::uint32_t from = 0, ends = 0, reports = 0;
+    int setting_up = 0, list_failures = 0;
+    bool gate_was_open = true, watching = false, too_dear = false;
+    bool sums_known = false;  // each living node's load on each ep is known here
+};
+
 }  // namespace lemonstair
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -5,9 +5,21 @@
 
 namespace lemonstair::peer {
 namespace {
-enum Kind : std::uint8_t { record_kind = 1, ask_kind, answer_kind, hello_kind, seen_kind, kinds_end };
-constexpr std::array<std::size_t, kinds_end> body{0,  24, 9,
-                                                  19, 6,  seen_bytes - 1};  // bytes after the kind byte
+enum Kind : std::uint8_t {
+    record_kind = 1,
+    ask_kind,
+    answer_kind,
+    hello_kind,
+    seen_kind,
+    lost_kind,
+    outcome_kind,
+    report_kind,
+    home_kind,
+    crossed_kind,
+    kinds_end
+};
+constexpr std::array<std::size_t, kinds_end> body{0, 24, 8, 19, 0, seen_bytes - 1, 4, 5, report_bytes - 1,
+                                                  8, 8};  // bytes after the kind byte
 constexpr double load_steps = 1000;
 
 std::uint64_t get(const std::uint8_t* p, int width) {
@@ -44,9 +56,9 @@
     return true;
 }
 
-bool Message::ask(std::uint64_t key, bool anyone) {
+bool Message::ask(std::uint64_t key) {
     if (!fits(body[ask_kind], ask_kind)) return false;
-    put(key, 8), put(anyone ? 1 : 0, 1);
+    put(key, 8);
     return true;
 }
 
@@ -56,9 +68,23 @@
     return true;
 }
 
-bool Message::hello(std::int64_t born) {
-    if (!fits(body[hello_kind], hello_kind)) return false;
-    put(static_cast<std::uint64_t>(born), 6);
+bool Message::hello() { return fits(body[hello_kind], hello_kind); }
+
+bool Message::lost(std::uint32_t node) {
+    if (!fits(body[lost_kind], lost_kind)) return false;
+    put(node, 4);
+    return true;
+}
+
+bool Message::outcome(std::uint32_t ep, bool good) {
+    if (!fits(body[outcome_kind], outcome_kind)) return false;
+    put(ep, 4), put(good ? 1 : 0, 1);
+    return true;
+}
+
+bool Message::report(std::uint32_t ep, bool good, double load) {
+    if (!fits(body[report_kind], report_kind)) return false;
+    put(ep, 4), put(good ? 1 : 0, 1), put(steps(load), 2);
     return true;
 }
 
@@ -68,6 +94,18 @@
     return true;
 }
 
+bool Message::home(std::uint32_t group, std::uint32_t ep) {
+    if (!fits(body[home_kind], home_kind)) return false;
+    put(group, 4), put(ep, 4);
+    return true;
+}
+
+bool Message::crossed(std::uint32_t group, std::uint32_t zone) {
+    if (!fits(body[crossed_kind], crossed_kind)) return false;
+    put(group, 4), put(zone, 4);
+    return true;
+}
+
 bool decode(std::span<const std::uint8_t> bytes, Listener& to) {
     if (bytes.empty() || bytes.size() > max_bytes || bytes[0] != version) return false;
     for (std::size_t at = 1;
@@ -86,13 +124,28 @@
                 to.record(get(p, 8), u32(8), time(12), u32(18), load_at(p + 22));
                 break;
             case ask_kind:
-                to.ask(get(p, 8), p[8] != 0);
+                to.ask(get(p, 8));
                 break;
             case answer_kind:
                 to.answer(get(p, 8), p[8] != 0, u32(9), time(13));
                 break;
             case hello_kind:
-                to.hello(time(0));
+                to.hello();
+                break;
+            case lost_kind:
+                to.lost(u32(0));
+                break;
+            case outcome_kind:
+                to.outcome(u32(0), p[4] != 0);
+                break;
+            case report_kind:
+                to.report(u32(0), p[4] != 0, load_at(p + 5));
+                break;
+            case home_kind:
+                to.home(u32(0), u32(4));
+                break;
+            case crossed_kind:
+                to.crossed(u32(0), u32(4));
                 break;
             default:
                 to.seen(u32(0), p[4] != 0, load_at(p + 5), load_at(p + 7));
--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -8,8 +8,9 @@
 namespace lemonstair::peer {
 
 inline constexpr std::size_t max_bytes = 256;
-inline constexpr std::uint8_t version = 1;
-inline constexpr std::size_t seen_bytes = 10;  // of one `seen` item
+inline constexpr std::uint8_t version = 2;
+inline constexpr std::size_t seen_bytes = 10;   // of one `seen` item
+inline constexpr std::size_t report_bytes = 8;  // of one `report` item
 
 // What a message says; the decoder turns each item into one call.
 class Listener {
@@ -17,10 +18,15 @@
     virtual ~Listener() = default;
     virtual void record(std::uint64_t key, std::uint32_t ep, std::int64_t stamp, std::uint32_t group,
                         double load) = 0;
-    virtual void ask(std::uint64_t key, bool anyone) = 0;
+    virtual void ask(std::uint64_t key) = 0;
     virtual void answer(std::uint64_t key, bool known, std::uint32_t ep, std::int64_t stamp) = 0;
-    virtual void hello(std::int64_t born) = 0;
+    virtual void hello() = 0;
+    virtual void lost(std::uint32_t node) = 0;
     virtual void seen(std::uint32_t ep, bool good, double load, double room) = 0;
+    virtual void outcome(std::uint32_t ep, bool good) = 0;
+    virtual void report(std::uint32_t ep, bool good, double load) = 0;
+    virtual void home(std::uint32_t group, std::uint32_t ep) = 0;
+    virtual void crossed(std::uint32_t group, std::uint32_t zone) = 0;
 };
 
 // Collects items into one message; an add that would pass the limit returns false and changes nothing.
@@ -31,10 +37,15 @@
     bool empty() const { return size_ <= 1; }
     std::span<const std::uint8_t> bytes() const { return {buffer_.data(), size_}; }
     bool record(std::uint64_t key, std::uint32_t ep, std::int64_t stamp, std::uint32_t group, double load);
-    bool ask(std::uint64_t key, bool anyone);
+    bool ask(std::uint64_t key);
     bool answer(std::uint64_t key, bool known, std::uint32_t ep, std::int64_t stamp);
-    bool hello(std::int64_t born);
+    bool hello();
+    bool lost(std::uint32_t node);
     bool seen(std::uint32_t ep, bool good, double load, double room);
+    bool outcome(std::uint32_t ep, bool good);
+    bool report(std::uint32_t ep, bool good, double load);
+    bool home(std::uint32_t group, std::uint32_t ep);
+    bool crossed(std::uint32_t group, std::uint32_t zone);
 
   private:
     bool fits(std::size_t more, std::uint8_t kind);
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -333,7 +333,7 @@
         if (!f.has("setup")) throw Malformed("Enlist: field 'setup' is missing");
         auto terms = read_terms(f.inner("setup"), f.whole("salt"));
         instance->profiles = terms.profiles.size();
-        instance->balancer = std::make_unique<Balancer>(std::move(terms), *instance, now_);
+        instance->balancer = Balancer::start(std::move(terms), *instance, now_);
         instances_[who] = std::move(instance);
     }
     static void interim(Balancer& b, const Fields& f) {
