Homes of groups apart, cold homes, outcomes by kind; sharing of bad news taken out

Cause: keepers that opened homes in the same second chose the same emptiest servers; a full fleet had no home with room, so every server was priced as a copy and tunnels were declined; cold successors in a deploy got next to nothing; a store's time-outs, told to the reporter as plain errors, set servers aside. Change: a server that became a group's home is left alone by other keepers for two seconds; a home has room up to a little above the fleet's load; cold servers may be homes within each node's budget, which follows from capacity; outcomes are told with their kind; homes are told when the group's tunnels pay for it. Fleet-wide work by cycles.

--- a/src/balance/group_table.h
+++ b/src/balance/group_table.h
@@ -1,32 +1,40 @@
-// GroupTable: how many tunnels of a group are known on an ep, and how many groups an ep holds.
+// GroupTable: where the tunnels of each group are known to be, and how many groups an ep holds.
 #pragma once
+#include <algorithm>
 #include <cstdint>
+#include <vector>
 
 #include "balance/id_index.h"
-#include "balance/slab.h"
 
 namespace lemonstair {
 
 class GroupTable {
   public:
+    struct Place {
+        std::uint32_t ep = 0;
+        int members = 0;            // tunnels known there
+        std::int64_t home_at = -1;  // when it was last told to be a home of the group; never: -1
+    };
     void add(std::uint32_t group, std::uint32_t ep, int by) {
         if (group == 0) return;
-        const std::uint64_t id = std::uint64_t{group} << 32 | ep;
-        std::uint32_t at = index_.find(id);
-        if (at == IdIndex::none) {
-            at = counts_.take();
-            index_.put(id, at);
-            groups_on_.put(ep, groups_on(ep) + 1);
-        }
-        counts_[at] += by;
-        if (counts_[at] > 0) return;
-        counts_.give_back(at);
-        index_.drop(id);
-        groups_on_.put(ep, groups_on(ep) - 1);
+        Place& p = place(group, ep);
+        const bool held = p.members > 0;
+        p.members = std::max(0, p.members + by);
+        if (held != (p.members > 0)) groups_on_.put(ep, groups_on(ep) + (held ? -1 : 1));
+        if (p.members > 0 || p.home_at >= 0) return;
+        auto& places = places_[index_.find(group)];
+        p = places.back();
+        places.pop_back();
+    }
+    void set_home(std::uint32_t group, std::uint32_t ep, std::int64_t at) { place(group, ep).home_at = at; }
+    const std::vector<Place>& of(std::uint32_t group) const {
+        const std::uint32_t at = index_.find(group);
+        return at == IdIndex::none ? nowhere_ : places_[at];
     }
     int members(std::uint32_t group, std::uint32_t ep) const {
-        const std::uint32_t at = group == 0 ? IdIndex::none : index_.find(std::uint64_t{group} << 32 | ep);
-        return at == IdIndex::none ? 0 : counts_[at];
+        for (const auto& p : of(group))
+            if (p.ep == ep) return p.members;
+        return 0;
     }
     std::uint32_t groups_on(std::uint32_t ep) const {
         const std::uint32_t n = groups_on_.find(ep);
@@ -34,8 +42,21 @@
     }
 
   private:
+    Place& place(std::uint32_t group, std::uint32_t ep) {
+        std::uint32_t at = index_.find(group);
+        if (at == IdIndex::none) {
+            at = static_cast<std::uint32_t>(places_.size());
+            places_.emplace_back();
+            index_.put(group, at);
+        }
+        for (auto& p : places_[at])
+            if (p.ep == ep) return p;
+        places_[at].push_back({ep, 0, -1});
+        return places_[at].back();
+    }
     IdIndex index_, groups_on_;
-    Slab<int> counts_;
+    std::vector<std::vector<Place>> places_;
+    std::vector<Place> nowhere_;
 };
 
 }  // namespace lemonstair
--- a/src/balance/record_table.h
+++ b/src/balance/record_table.h
@@ -50,6 +50,7 @@
         for (std::uint32_t i = 0; i < records_.places(); ++i)
             if (records_.used(i) && records_[i].heard < when) drop(records_[i].key);
     }
+    GroupTable& groups() { return groups_; }
     const GroupTable& groups() const { return groups_; }
     double sampled_load() const { return sampled_load_; }
 
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -43,16 +43,22 @@
     double size = 1, doubt = 0, cold_left = 0, tried = 0,
            failed = 0;  // tried, failed: setups and probes lately
     double room = 0;    // load that it can do, as its reports and what it carries tell; 0: no figure yet
-    double last_report = 0, mine = 0, told = 0, room_told = 0,
+    double last_report = 0, mine = 0, told = 0,
            pending = 0;  // loads: carried here; placed by others and not yet in their sums
     Tenths told_at = 0, started = 0, listed_start = 0, probed_at = -never, aside_at = 0, trial_at = 0,
            probe_good_at = -never, good_at = -never, cold_at = 0;
     Tenths slow_at = -never, slow_since = 0, slow_by = 0, moved_at = 0;
     std::uint32_t carried = 0, unanswered = 0;
-    std::vector<double> others;           // load that each other node carries there, as it last said
-    double elsewhere = 0;                 // their sum
+    std::vector<double> others;  // load that each other node carries there, as it last said
+    double elsewhere = 0;        // their sum
+    void carried_by(std::uint32_t node, double load) {
+        elsewhere += load - others[node];
+        others[node] = load;
+    }
     double x = Report::none, x_told = 0;  // load over what it can do, as last reported; as last told to all
     Tenths x_at = -never, x_told_at = -never;
+    Tenths home_at = -never;  // when it was last told to be a group's home
+    std::uint32_t reporter = none;
     bool bad_told = false;
 };
 
@@ -119,6 +125,16 @@
         const std::uint32_t at = ep_index.find(id);
         return at == none ? nullptr : &eps[at];
     }
+    // The two living nodes that come next by number, or by `step` = all but one, before this one.
+    Two next_living(std::size_t step) const {
+        Two out{none, none};
+        std::size_t n = terms.me;
+        for (std::size_t i = 1, found = 0; i < peers.size() && found < out.size(); ++i) {
+            n = (n + step) % peers.size();
+            if (peers[n].lives) out[found++] = static_cast<std::uint32_t>(n);
+        }
+        return out;
+    }
     Tenths draw_span(Tenths below) { return static_cast<Tenths>(draw() * static_cast<double>(below)); }
 
     Terms terms;
@@ -126,7 +142,7 @@
     Tenths now, born;
     std::minstd_rand rng;
     std::vector<Ep> eps;
-    IdIndex ep_index, tun_index, home_index, crossings, asking;
+    IdIndex ep_index, tun_index, crossings, asking;
     Slab<Tun> tuns;
     RecordTable records;
     std::vector<Peer> peers;
@@ -134,6 +150,8 @@
     peer::Outbox outbox;
     std::vector<Placed> placed;
     std::vector<double> weights;
+    std::vector<char> held_at;  // eps that hold the group at hand
+    std::vector<double> harms;  // by load, in steps
     std::vector<Mean> profile_load;
     Mean any_load;
     std::vector<std::uint32_t> held, retrying;
@@ -144,9 +162,10 @@
     Tenths report_pause = second, tell_pause = second;
     double opened_lately = 0, ended_lately = 0, tried_lately = 0, failed_lately = 0, placed_lately = 0;
     double mean_credit = 0, moves_left = 0;
-    double room_a_size = 1, fleet_load = 0, ends_a_second = 0;
-    std::uint32_t from = 0, ends = 0, reports = 0;
+    double room_a_size = 2.5, fleet_load = 0, ends_a_second = 0;
+    std::uint32_t from = 0, ends = 0, reports = 0, sweeps = 0;
     int setting_up = 0, list_failures = 0;
+    bool ring_changed = true;
     bool gate_was_open = true, watching = false, too_dear = false;
     bool sums_known = false;  // each living node's load on each ep is known here
 };
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -18,8 +18,8 @@
     crossed_kind,
     kinds_end
 };
-constexpr std::array<std::size_t, kinds_end> body{0, 24, 8, 19, 0, seen_bytes - 1, 4, 5, report_bytes - 1,
-                                                  8, 8};  // bytes after the kind byte
+constexpr std::array<std::size_t, kinds_end> body{
+    0, 24, 8, 19, 0, seen_bytes - 1, 4, 5, report_bytes - 1, home_bytes - 1, 8};  // bytes after the kind byte
 constexpr double load_steps = 1000;
 
 std::uint64_t get(const std::uint8_t* p, int width) {
@@ -76,9 +76,9 @@
     return true;
 }
 
-bool Message::outcome(std::uint32_t ep, bool good) {
+bool Message::outcome(std::uint32_t ep, std::uint8_t ending) {
     if (!fits(body[outcome_kind], outcome_kind)) return false;
-    put(ep, 4), put(good ? 1 : 0, 1);
+    put(ep, 4), put(ending, 1);
     return true;
 }
 
@@ -88,9 +88,9 @@
     return true;
 }
 
-bool Message::seen(std::uint32_t ep, bool good, double load, double room) {
+bool Message::seen(std::uint32_t ep, bool good, double load) {
     if (!fits(body[seen_kind], seen_kind)) return false;
-    put(ep, 4), put(good ? 1 : 0, 1), put(steps(load), 2), put(steps(room), 2);
+    put(ep, 4), put(good ? 1 : 0, 1), put(steps(load), 2);
     return true;
 }
 
@@ -136,7 +136,7 @@
                 to.lost(u32(0));
                 break;
             case outcome_kind:
-                to.outcome(u32(0), p[4] != 0);
+                to.outcome(u32(0), p[4]);
                 break;
             case report_kind:
                 to.report(u32(0), p[4] != 0, load_at(p + 5));
@@ -148,7 +148,7 @@
                 to.crossed(u32(0), u32(4));
                 break;
             default:
-                to.seen(u32(0), p[4] != 0, load_at(p + 5), load_at(p + 7));
+                to.seen(u32(0), p[4] != 0, load_at(p + 5));
         }
         at += 1 + body[kind];
     }
--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -9,7 +9,8 @@
 
 inline constexpr std::size_t max_bytes = 256;
 inline constexpr std::uint8_t version = 2;
-inline constexpr std::size_t seen_bytes = 10;   // of one `seen` item
+inline constexpr std::size_t seen_bytes = 8;    // of one `seen` item
+inline constexpr std::size_t home_bytes = 9;    // of one `home` item
 inline constexpr std::size_t report_bytes = 8;  // of one `report` item
 
 // What a message says; the decoder turns each item into one call.
@@ -22,8 +23,8 @@
     virtual void answer(std::uint64_t key, bool known, std::uint32_t ep, std::int64_t stamp) = 0;
     virtual void hello() = 0;
     virtual void lost(std::uint32_t node) = 0;
-    virtual void seen(std::uint32_t ep, bool good, double load, double room) = 0;
-    virtual void outcome(std::uint32_t ep, bool good) = 0;
+    virtual void seen(std::uint32_t ep, bool good, double load) = 0;
+    virtual void outcome(std::uint32_t ep, std::uint8_t ending) = 0;
     virtual void report(std::uint32_t ep, bool good, double load) = 0;
     virtual void home(std::uint32_t group, std::uint32_t ep) = 0;
     virtual void crossed(std::uint32_t group, std::uint32_t zone) = 0;
@@ -41,8 +42,8 @@
     bool answer(std::uint64_t key, bool known, std::uint32_t ep, std::int64_t stamp);
     bool hello();
     bool lost(std::uint32_t node);
-    bool seen(std::uint32_t ep, bool good, double load, double room);
-    bool outcome(std::uint32_t ep, bool good);
+    bool seen(std::uint32_t ep, bool good, double load);
+    bool outcome(std::uint32_t ep, std::uint8_t ending);
     bool report(std::uint32_t ep, bool good, double load);
     bool home(std::uint32_t group, std::uint32_t ep);
     bool crossed(std::uint32_t group, std::uint32_t zone);
