Large fleets: only a group's homes are weighed where a copy would cost twice as much

Change: other servers are weighed only where no home costs less than half a copy; a group's order is looked at before the room of a server; outcomes age when they are read.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -70,6 +70,7 @@
             at = static_cast<std::uint32_t>(eps.size());
             ep_index.put(id, at);
             eps.emplace_back();
+            ids.push_back(id);
             eps[at].id = id;
             eps[at].reporter = first_living(mix(id));
             eps[at].others.assign(peers.size(), 0);
@@ -77,13 +78,8 @@
             eps[at].probed_at = now - draw_span(probe_every);
         }
         Ep& e = eps[at];
-        if (started > e.listed_start) {  // a new life: what the old one showed counts no more
-            e.listed_start = e.started = started;
-            e.doubt = 0;
-            e.aside = false;
-            e.room = 0;
-            e.slow_by = 0;
-            e.x = Report::none;
+        if (started > e.listed_start) {
+            e.begin_life(started);
             chill(e);
         }
         set_life(e, life);
@@ -150,10 +146,7 @@
         return std::find(nodes.begin(), nodes.begin() + n, node) != nodes.begin() + n;
     }
     std::uint32_t first_living(std::uint64_t place) const {
-        Ring::Chain nodes{};
-        ring.chain(
-            place, 1, [this](std::uint32_t n) { return lives(n); }, nodes);
-        return nodes[0];
+        return ring.first(place, [this](std::uint32_t n) { return lives(n); });
     }
     template <class Add>
     void post(std::uint32_t node, Add&& add) {
@@ -377,7 +370,6 @@
         if (sums_known && size > 0) room_a_size = sum / size;
         if (!sums_known && sum > 0.05 * size)
             room_a_size += (records.sampled_load() * tunnels_a_sample() / sum - room_a_size) * 0.05;
-        room_a_size = std::max(room_a_size, 0.01);
     }
     void expect(std::uint32_t at, double load) {
         eps[at].pending += load;
@@ -397,6 +389,9 @@
     // The load at which a copy of a group is priced at least: it stays as the eps fill up, which reports do
     // not show while what was open before a start comes in.
     double copy_load() const { return now - born < handover ? std::max(0.5, fleet_load) : fleet_load + 0.1; }
+    double copy_price(std::uint32_t group) const {
+        return group != 0 && !sums_known ? harm(copy_load(), group_copy) : 0;
+    }
     // The marginal cost of a load of this group on an ep.
     double cost(std::uint32_t at, double load, std::uint32_t group) const {
         const Ep& e = eps[at];
@@ -419,13 +414,13 @@
         std::uint32_t best = none;
         std::uint64_t least = 0;
         for (std::uint32_t i = 0; i < eps.size(); ++i) {
+            const std::uint64_t place = mix(std::uint64_t{group} << 32 | ids[i]);
+            if (best != none && place >= least) continue;  // most eps need no closer look
             const Ep& e = eps[i];
             if (!has_room(e, limit) || (zone != none && e.zone != zone)) continue;
             if (t != nullptr && !cold_allows(i)) continue;
             if (t == nullptr && now - e.home_at < report_lag) continue;  // another group comes there
             if (t != nullptr && std::find(t->tried.begin(), t->tried.end(), i) != t->tried.end()) continue;
-            const std::uint64_t place = mix(std::uint64_t{group} << 32 | e.id);
-            if (best != none && place >= least) continue;
             best = i;
             least = place;
         }
@@ -517,20 +512,21 @@
     // ---- health
     // The part of setups and probes that failed lately, on all eps but one.
     double failing(const Ep& but) const {
-        return (failed_lately - but.failed + 5 * usual_part) / (tried_lately - but.tried + 5);
-    }
-    static bool tells_nothing(Ending e) {
-        return e == Ending::called_off || e == Ending::not_sent || e == Ending::full;
+        const double old = std::pow(gate_decay, (now - but.judged_at) / sweep_every);
+        return (failed_lately - but.failed * old + 5 * usual_part) / (tried_lately - but.tried * old + 5);
     }
     // What fails everywhere (a store that all setups need, a burst past its rate) is no ep's fault. Setting
     // eps aside for it, and moving their tunnels, would feed the very jam: the test asks what an ep does
     // worse than the others.
     void judge(Ep& e, Ending ending, bool by_probe) {
-        if (tells_nothing(ending)) return;
+        if (ending == Ending::called_off || ending == Ending::not_sent || ending == Ending::full) return;
         // Setups may share a store that probes do without, so a setup's time-out says less of the ep.
         const bool shared = ending == Ending::timed_out && !by_probe;
         const double usual = std::clamp(failing(e), shared ? shared_part : usual_part, bad_part);
-        ++e.tried, ++tried_lately;
+        const double old = std::pow(gate_decay, (now - e.judged_at) / sweep_every);
+        e.judged_at = now;
+        e.failed *= old;
+        e.tried = e.tried * old + 1, ++tried_lately;
         if (ending == Ending::ok) {
             e.good_at = now;
             e.silent = false;
@@ -563,9 +559,9 @@
     // A node with few tunnels of its own learns too little of an ep: the ep's reporter judges for all.
     void judged(Ep& e, Ending ending) {
         judge(e, ending, false);
-        if (sums_known || tells_nothing(ending)) return;
-        post(first_living(mix(e.id)),
-             [&](peer::Message& m) { return m.outcome(e.id, static_cast<std::uint8_t>(ending)); });
+        const auto kind = static_cast<std::uint8_t>(ending);
+        if (sums_known || never_ran(ending)) return;
+        post(first_living(mix(e.id)), [&](peer::Message& m) { return m.outcome(e.id, kind); });
     }
     void set_aside(Ep& e, const char* why, double figure) {
         e.aside = true;
@@ -573,10 +569,10 @@
         e.trial_at = now + trial_pause;
         say("ep %u set aside: %s, %.1f", e.id, why, figure);
         // With most eps set aside the trouble is elsewhere: then all take part again rather than none.
-        std::size_t in = 0, out = 0;
+        int more_in = 0;
         for (const auto& o : eps)
-            if (o.life == Life::in_service) (o.aside ? out : in) += 1;
-        if (out <= in) return;
+            if (o.life == Life::in_service) more_in += o.aside ? -1 : 1;
+        if (more_in >= 0) return;
         for (auto& o : eps)
             if (o.aside) come_back(o, "trouble everywhere");
     }
@@ -614,22 +610,27 @@
         weights.assign(eps.size(), 0);
         mark_held(t);
         double total = 0, least = std::numeric_limits<double>::max();
+        const auto weigh = [&](std::uint32_t i, int pass) {
+            Ep& e = eps[i];
+            if (e.life != Life::in_service || !same_scope(t, e)) return;
+            const bool tried = std::find(t.tried.begin(), t.tried.end(), i) != t.tried.end();
+            const bool trial = e.aside && now >= e.trial_at && t.setups == 0 &&
+                               (!terms.limits.probing || e.probe_good_at > e.aside_at);
+            if (pass == 0 && (tried || (e.aside && !trial))) return;
+            if (!cold_allows(i)) return;
+            const double price = cost(i, t.load, t.group);
+            least = std::min(least, price);
+            double w = 1 / (price + 1e-3);
+            for (int k = 0; k < 3; ++k) w *= w;  // an ep of twice the cost gets a 256th of the weight
+            weights[i] = room(e) * w + weight_floor;
+            total += weights[i];
+        };
         for (int pass = 0; pass < 2 && total <= 0; ++pass)
-            for (std::uint32_t i = 0; i < eps.size(); ++i) {
-                Ep& e = eps[i];
-                if (e.life != Life::in_service || !same_scope(t, e)) continue;
-                const bool tried = std::find(t.tried.begin(), t.tried.end(), i) != t.tried.end();
-                if (pass == 0 && tried) continue;
-                const bool trial = e.aside && now >= e.trial_at && t.setups == 0 &&
-                                   (!terms.limits.probing || e.probe_good_at > e.aside_at);
-                if (e.aside && !trial && pass == 0) continue;
-                if (!cold_allows(i)) continue;
-                const double price = cost(i, t.load, t.group);
-                least = std::min(least, price);
-                double w = 1 / (price + 1e-3);
-                for (int k = 0; k < 3; ++k) w *= w;  // an ep of twice the cost gets a 256th of the weight
-                weights[i] = room(e) * w + weight_floor;
-                total += weights[i];
+            for (const char held : {1, 0}) {
+                // Another copy of the group would cost twice as much: no need to look at all the other eps.
+                const bool dear = copy_price(t.group) > 2 * least;
+                for (std::uint32_t i = 0; i < eps.size() && !(dear && total > 0); ++i)
+                    if (held_at[i] == held) weigh(i, pass);
             }
         too_dear = total > 0 && !t.mid_flow && least > worth_of(t.profile);
         if (total <= 0 || too_dear) return none;
@@ -938,8 +939,10 @@
             if (here < most) continue;
             mark_held(t);
             double there = worth_of(t.profile);  // in a full fleet it is better declined
+            const double dear = copy_price(t.group);
             for (std::uint32_t k = 0; k < eps.size(); ++k)
-                if (&eps[k] != &off && !cold(eps[k]) && has_room(eps[k], most_load))
+                if ((held_at[k] != 0 || dear < there) && &eps[k] != &off && !cold(eps[k]) &&
+                    has_room(eps[k], most_load))
                     there = std::min(there, cost(k, t.load, t.group));
             if (here - there <= most) continue;
             most = here - there;
@@ -978,11 +981,8 @@
     }
     // What looks at all eps is done less often the more there are: the node has little time for it.
     void look_over() {
-        const double decay = std::pow(gate_decay, 1 + eps.size() / 64);
-        for (auto& e : eps) {
-            e.tried *= decay, e.failed *= decay;
-            if (ring_changed) e.reporter = first_living(mix(e.id));
-        }
+        for (std::uint32_t i = 0; i < eps.size() && ring_changed; ++i)
+            eps[i].reporter = first_living(mix(eps[i].id));
         ring_changed = false;
         weigh_fleet();
         if (terms.limits.probing) send_probes();
--- a/src/balance/ring.h
+++ b/src/balance/ring.h
@@ -23,6 +23,13 @@
                 points_.emplace_back(mix((std::uint64_t{n} << 32) + i + salt), n);
         std::sort(points_.begin(), points_.end());
     }
+    // The first living node from a place on.
+    template <class Lives>
+    std::uint32_t first(std::uint64_t key, Lives&& lives) const {
+        Chain nodes{};
+        chain(key, 1, lives, nodes);
+        return nodes[0];
+    }
     // The tail first (the first living node from the key's point on), then its predecessors; how many there
     // are.
     template <class Lives>
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -49,14 +49,22 @@
            probe_good_at = -never, good_at = -never, cold_at = 0;
     Tenths slow_at = -never, slow_since = 0, slow_by = 0, moved_at = 0;
     std::uint32_t carried = 0, unanswered = 0;
-    std::vector<double> others;  // load that each other node carries there, as it last said
-    double elsewhere = 0;        // their sum
+    std::vector<double> others;   // load that each other node carries there, as it last said
+    double elsewhere = 0;         // their sum
+    void begin_life(Tenths at) {  // what the old one showed counts no more
+        listed_start = started = at;
+        doubt = room = 0;
+        aside = false;
+        slow_by = 0;
+        x = Report::none;
+    }
     void carried_by(std::uint32_t node, double load) {
         elsewhere += load - others[node];
         others[node] = load;
     }
     double x = Report::none, x_told = 0;  // load over what it can do, as last reported; as last told to all
     Tenths x_at = -never, x_told_at = -never;
+    Tenths judged_at = 0;
     Tenths home_at = -never;  // when it was last told to be a group's home
     std::uint32_t reporter = none;
     bool bad_told = false;
@@ -142,6 +150,7 @@
     Tenths now, born;
     std::minstd_rand rng;
     std::vector<Ep> eps;
+    std::vector<std::uint32_t> ids;  // of the eps, in their order
     IdIndex ep_index, tun_index, crossings, asking;
     Slab<Tun> tuns;
     RecordTable records;
