Keepers take another group's fresh home last; the gate's floor by the root of the nodes

Cause: with few servers a zone, keepers found none that was not another group's fresh home, and crossings went on; with the floor split by the number of nodes one failed setup shut a node's gate for seconds.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -414,12 +414,13 @@
         std::uint32_t best = none;
         std::uint64_t least = 0;
         for (std::uint32_t i = 0; i < eps.size(); ++i) {
-            const std::uint64_t place = mix(std::uint64_t{group} << 32 | ids[i]);
+            // Rather not where another group is just coming.
+            const std::uint64_t taken = t == nullptr && now - eps[i].home_at < report_lag ? 1 : 0;
+            const std::uint64_t place = taken << 63 | mix(std::uint64_t{group} << 32 | ids[i]) >> 1;
             if (best != none && place >= least) continue;  // most eps need no closer look
             const Ep& e = eps[i];
             if (!has_room(e, limit) || (zone != none && e.zone != zone)) continue;
             if (t != nullptr && !cold_allows(i)) continue;
-            if (t == nullptr && now - e.home_at < report_lag) continue;  // another group comes there
             if (t != nullptr && std::find(t->tried.begin(), t->tried.end(), i) != t->tried.end()) continue;
             best = i;
             least = place;
@@ -587,7 +588,7 @@
     // jam up, and clients come again for each failure. Then no more is sent than twice what opens, and a
     // little to find out; the rest is declined at once. Guards against a storm of setups that feeds itself.
     bool gate_open() {
-        const double floor = gate_floor / std::max(1.0, nodes() / 3);  // many nodes find out for each other
+        const double floor = gate_floor / std::sqrt(std::max(1.0, nodes() / 3));  // many nodes find out for each other
         const bool open = ended_lately <= floor || ended_lately + setting_up <= 2 * opened_lately + floor;
         if (open != gate_was_open)
             say("gate %s: %.0f setups ended, %.0f opened, %d out", open ? "opens" : "shuts", ended_lately,
