Publish looks its group's keeper up once; the wait of a probe without a nested choice

Found on reading the change again: the keeper was looked up on the ring up to four times for each tunnel published, and the wait between probes asked twice whether a server is silent.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -166,16 +166,17 @@
     }
     void publish(Tun& t, bool first = false) {
         if (!t.keyed) return;
-        records.put({t.key, t.stamp, now, eps[t.ep].id, t.group, t.load, true});
+        const std::uint32_t ep = eps[t.ep].id;
+        records.put({t.key, t.stamp, now, ep, t.group, t.load, true});
         t.refresh_at = now + refresh_every;
-        pass_down(t.key, eps[t.ep].id, t.stamp, t.group, t.load, true);
+        pass_down(t.key, ep, t.stamp, t.group, t.load, true);
         if (sums_known || t.group == 0) return;
         const bool far = first && eps[t.ep].zone != terms.zone;
-        if (far && keeper(t.group) == terms.me) crossed(t.group, terms.zone);
-        if (far) post(keeper(t.group), [&](peer::Message& m) { return m.crossed(t.group, terms.zone); });
-        if (keeper(t.group) == terms.me || on_chain(t.key, keeper(t.group))) return keep_homes(t.group);
-        post(keeper(t.group),
-             [&](peer::Message& m) { return m.record(t.key, eps[t.ep].id, t.stamp, t.group, t.load); });
+        const std::uint32_t to = keeper(t.group);
+        if (far && to == terms.me) crossed(t.group, terms.zone);
+        if (far) post(to, [&](peer::Message& m) { return m.crossed(t.group, terms.zone); });
+        if (to == terms.me || on_chain(t.key, to)) return keep_homes(t.group);
+        post(to, [&](peer::Message& m) { return m.record(t.key, ep, t.stamp, t.group, t.load); });
     }
 
     // ---- what other nodes say
@@ -456,8 +457,7 @@
             if (is_home(p) && ep_of(p.ep) != nullptr && has_room(*ep_of(p.ep), home_limit())) return;
         open_home(group, first_with_room(group, std::clamp(fleet_load, home_full / 2, home_full), nullptr));
     }
-    // A tunnel that crossed zones for its group: crossings are paid for as long as they cost less than a
-    // copy.
+    // Crossings of zones for a group are paid for as long as they cost less than a copy.
     void crossed(std::uint32_t group, std::uint32_t zone) override {
         const std::uint64_t id = std::uint64_t{group} << 32 | zone;
         const std::uint32_t n = crossings.find(id) == none ? 1 : crossings.find(id) + 1;
@@ -561,8 +561,8 @@
     // A node with few tunnels of its own learns too little of an ep: the ep's reporter judges for all.
     void judged(Ep& e, Ending ending) {
         judge(e, ending, false);
-        const auto kind = static_cast<std::uint8_t>(ending);
         if (sums_known || never_ran(ending)) return;
+        const auto kind = static_cast<std::uint8_t>(ending);
         post(first_living(mix(e.id)), [&](peer::Message& m) { return m.outcome(e.id, kind); });
     }
     void set_aside(Ep& e, const char* why, double figure) {
@@ -1008,7 +1008,7 @@
             if (e.life != Life::in_service || e.probing) continue;
             // Without sums an ep's reporter probes for all; the others only where they hear nothing of it.
             const bool mine = sums_known || e.reporter == terms.me;
-            const Tenths wait = e.silent || mine ? (e.silent ? probe_every : pause) : 8 * tell_pause;
+            const Tenths wait = e.silent ? probe_every : mine ? pause : 8 * tell_pause;
             if (now - std::max(e.probed_at, mine ? -never : e.x_at) < wait) continue;
             e.probing = true;
             e.probed_at = now;
