--- /dev/null
+++ b/src/json/json.cpp
@@ -0,0 +1,215 @@
+#include "json/json.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace lemonstair::json {
+
+// Reads one text into a document's row. Depth is bounded: an endless row of brackets ends as an error.
+class Reader {
+  public:
+    Reader(Document& into, std::string_view text)
+        : to_(into), at_(text.data()), end_(text.data() + text.size()) {}
+    bool read() {
+        if (!value(0)) return false;
+        blank();
+        return at_ == end_;
+    }
+
+  private:
+    static constexpr int deepest = 64;
+    void blank() {
+        while (at_ != end_ && (*at_ == ' ' || *at_ == '\t' || *at_ == '\n' || *at_ == '\r')) ++at_;
+    }
+    bool comes(char c) {
+        blank();
+        if (at_ == end_ || *at_ != c) return false;
+        ++at_;
+        return true;
+    }
+    std::size_t place(Type type) {
+        to_.items_.push_back({{}, static_cast<std::uint32_t>(to_.items_.size() + 1), type});
+        return to_.items_.size() - 1;
+    }
+    bool value(int depth) {
+        blank();
+        if (at_ == end_ || depth > deepest) return false;
+        switch (*at_) {
+            case '{':
+                return many(Type::object, '}', depth);
+            case '[':
+                return many(Type::list, ']', depth);
+            case '"':
+                return text();
+            case 't':
+                return word("true", Type::truth);
+            case 'f':
+                return word("false", Type::truth);
+            case 'n':
+                return word("null", Type::null);
+            default:
+                return number();
+        }
+    }
+    bool many(Type type, char close, int depth) {
+        const std::size_t self = place(type);
+        ++at_;
+        if (!comes(close)) {
+            do {
+                if (type == Type::object) {
+                    blank();
+                    if (at_ == end_ || *at_ != '"' || !text() || !comes(':')) return false;
+                }
+                if (!value(depth + 1)) return false;
+            } while (comes(','));
+            if (!comes(close)) return false;
+        }
+        to_.items_[self].next = static_cast<std::uint32_t>(to_.items_.size());
+        return true;
+    }
+    bool word(std::string_view letters, Type type) {
+        if (std::string_view(at_, end_).substr(0, letters.size()) != letters) return false;
+        to_.items_[place(type)].raw = {at_, letters.size()};
+        at_ += letters.size();
+        return true;
+    }
+    bool digits() {
+        const char* from = at_;
+        while (at_ != end_ && *at_ >= '0' && *at_ <= '9') ++at_;
+        return at_ != from;
+    }
+    bool number() {
+        const char* from = at_;
+        if (at_ != end_ && *at_ == '-') ++at_;
+        const char* first = at_;
+        if (!digits() || (*first == '0' && at_ - first > 1)) return false;
+        if (at_ != end_ && *at_ == '.') {
+            ++at_;
+            if (!digits()) return false;
+        }
+        if (at_ != end_ && (*at_ == 'e' || *at_ == 'E')) {
+            ++at_;
+            if (at_ != end_ && (*at_ == '+' || *at_ == '-')) ++at_;
+            if (!digits()) return false;
+        }
+        to_.items_[place(Type::number)].raw = {from, static_cast<std::size_t>(at_ - from)};
+        return true;
+    }
+    bool text() {
+        const char* from = ++at_;
+        bool plain = true;
+        for (; at_ != end_ && *at_ != '"'; ++at_) {
+            if (static_cast<unsigned char>(*at_) < 0x20) return false;
+            if (*at_ != '\\') continue;
+            plain = false;
+            if (++at_ == end_) return false;
+        }
+        if (at_ == end_) return false;
+        const std::string_view raw(from, static_cast<std::size_t>(at_ - from));
+        ++at_;
+        const std::size_t self = place(Type::text);
+        if (plain) {
+            to_.items_[self].raw = raw;
+            return true;
+        }
+        std::string& out = to_.unescaped_.emplace_back();
+        if (!unescape(raw, out)) return false;
+        to_.items_[self].raw = out;
+        return true;
+    }
+    static bool four(std::string_view raw, std::size_t at, std::uint32_t& code) {
+        if (raw.size() - at < 4) return false;
+        const char* stop = raw.data() + at + 4;
+        return std::from_chars(raw.data() + at, stop, code, 16).ptr == stop;
+    }
+    static bool unescape(std::string_view raw, std::string& out) {
+        for (std::size_t i = 0; i < raw.size(); ++i) {
+            if (raw[i] != '\\') {
+                out.push_back(raw[i]);
+                continue;
+            }
+            constexpr std::string_view letters = "\"\\/bfnrt", meant = "\"\\/\b\f\n\r\t";
+            const char c = raw[++i];
+            if (const auto k = letters.find(c); k != std::string_view::npos) {
+                out.push_back(meant[k]);
+                continue;
+            }
+            std::uint32_t code = 0, low = 0;
+            if (c != 'u' || !four(raw, i + 1, code)) return false;
+            i += 4;
+            if (code >= 0xdc00 && code < 0xe000) return false;
+            if (code >= 0xd800 && code < 0xdc00) {
+                if (raw.substr(i + 1, 2) != "\\u" || !four(raw, i + 3, low) || low < 0xdc00 || low > 0xdfff)
+                    return false;
+                i += 6;
+                code = 0x10000 + ((code - 0xd800) << 10) + (low - 0xdc00);
+            }
+            utf8(code, out);
+        }
+        return true;
+    }
+    static void utf8(std::uint32_t code, std::string& out) {
+        if (code < 0x80) return out.push_back(static_cast<char>(code));
+        int tail = code < 0x800 ? 1 : code < 0x10000 ? 2 : 3;
+        const std::uint32_t lead = tail == 1 ? 0xc0 : tail == 2 ? 0xe0 : 0xf0;
+        out.push_back(static_cast<char>(lead | code >> (6 * tail)));
+        while (tail-- > 0) out.push_back(static_cast<char>(0x80 | (code >> (6 * tail) & 0x3f)));
+    }
+
+    Document& to_;
+    const char* at_;
+    const char* end_;
+};
+
+bool Document::parse(std::string_view text) {
+    items_.clear();
+    unescaped_.clear();
+    if (text.size() < 0xffffffffULL && Reader(*this, text).read()) return true;
+    items_.clear();
+    return false;
+}
+
+Value Document::root() const { return items_.empty() ? Value() : Value(*this, 0); }
+
+void Value::fail(std::string_view name, std::string_view what) const {
+    throw Malformed(std::string(where_).append(": field '").append(name).append("' ").append(what));
+}
+
+Value Value::need(std::string_view name, Type type, const char* what) const {
+    const Value v = find(name);
+    if (v.type() == Type::null) fail(name, "is missing");
+    if (v.type() != type) fail(name, std::string("is not ").append(what));
+    return v;
+}
+
+std::uint64_t Value::whole(std::string_view name) const {
+    const auto raw = need(name, Type::number, "a whole number").raw();
+    std::uint64_t n = 0;
+    const auto [stop, error] = std::from_chars(raw.data(), raw.data() + raw.size(), n);
+    if (error != std::errc{} || stop != raw.data() + raw.size()) fail(name, "is not a whole number");
+    return n;
+}
+
+std::uint32_t Value::small(std::string_view name) const {
+    const std::uint64_t n = whole(name);
+    if (n > 0xffffffffULL) fail(name, "is too large");
+    return static_cast<std::uint32_t>(n);
+}
+
+double Value::as_number() const {
+    double x = NAN;
+    if (type() == Type::number) std::from_chars(raw().data(), raw().data() + raw().size(), x);
+    return x;
+}
+
+double Value::number(std::string_view name) const {
+    const double x = need(name, Type::number, "a number").as_number();
+    if (!std::isfinite(x)) fail(name, "is not a number");
+    return x;
+}
+
+bool Value::flag(std::string_view name) const {
+    return has(name) && need(name, Type::truth, "true or false").raw() == "true";
+}
+
+}  // namespace lemonstair::json
--- /dev/null
+++ b/src/net/buffer_pool.h
@@ -0,0 +1,106 @@
+// Buffers of one size, kept in a pool and used again. A buffer is a queue of bytes: put at the end, taken from
+// the front; an empty handle holds no memory.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstring>
+#include <memory>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace lemonstair::net {
+
+// A line of 4 KiB, its end, and the digits by which a rewritten line may grow.
+constexpr std::size_t buffer_bytes = 4096 + 64;
+
+class BufferPool;
+
+class Buffer {
+  public:
+    Buffer() = default;
+    Buffer(Buffer&& other) noexcept { swap(other); }
+    Buffer& operator=(Buffer&& other) noexcept {
+        if (this != &other) {
+            give_back();
+            swap(other);
+        }
+        return *this;
+    }
+    ~Buffer() { give_back(); }
+    inline void give_back();
+    bool held() const { return bytes_ != nullptr; }
+    bool empty() const { return begin_ == end_; }
+    std::string_view view() const { return held() ? std::string_view(bytes_->data() + begin_, end_ - begin_) : std::string_view{}; }
+    void take(std::size_t n) { begin_ += n; }
+    // Room at the end, after moving what is there to the front.
+    std::pair<char*, std::size_t> room() {
+        if (begin_ > 0) {
+            std::memmove(bytes_->data(), bytes_->data() + begin_, end_ - begin_);
+            end_ -= begin_;
+            begin_ = 0;
+        }
+        return {bytes_->data() + end_, bytes_->size() - end_};
+    }
+    void added(std::size_t n) { end_ += n; }
+    bool append(std::string_view text) {
+        const auto [at, left] = room();
+        if (text.size() > left) return false;
+        std::memcpy(at, text.data(), text.size());
+        end_ += text.size();
+        return true;
+    }
+
+  private:
+    friend class BufferPool;
+    using Bytes = std::array<char, buffer_bytes>;
+    void swap(Buffer& other) {
+        std::swap(pool_, other.pool_);
+        std::swap(bytes_, other.bytes_);
+        std::swap(begin_, other.begin_);
+        std::swap(end_, other.end_);
+    }
+    BufferPool* pool_ = nullptr;
+    std::unique_ptr<Bytes> bytes_;
+    std::size_t begin_ = 0, end_ = 0;
+};
+
+class BufferPool {
+  public:
+    // At most `kept` unused buffers stay; after a burst the rest goes back to the system.
+    explicit BufferPool(std::size_t kept = 256) : kept_(kept) { free_.reserve(kept); }
+    BufferPool(const BufferPool&) = delete;
+    BufferPool& operator=(const BufferPool&) = delete;
+    ~BufferPool() = default;
+    Buffer take() {
+        Buffer b;
+        b.pool_ = this;
+        if (free_.empty()) {
+            b.bytes_ = std::make_unique_for_overwrite<Buffer::Bytes>();
+        } else {
+            b.bytes_ = std::move(free_.back());
+            free_.pop_back();
+        }
+        ++out_;
+        return b;
+    }
+    std::size_t out() const { return out_; }
+
+  private:
+    friend class Buffer;
+    void put(std::unique_ptr<Buffer::Bytes> bytes) {
+        --out_;
+        if (free_.size() < kept_) free_.push_back(std::move(bytes));
+    }
+    std::size_t kept_;
+    std::vector<std::unique_ptr<Buffer::Bytes>> free_;
+    std::size_t out_ = 0;
+};
+
+inline void Buffer::give_back() {
+    if (held()) pool_->put(std::move(bytes_));
+    begin_ = end_ = 0;
+}
+
+}  // namespace lemonstair::net
--- /dev/null
+++ b/src/net/clock.h
@@ -0,0 +1,29 @@
+// The node's clock in whole tenths of a millisecond. It runs by the steady clock and is set once, at the start,
+// by Unix time: the stamps of records travel between machines, and hosts' starts are told in Unix time.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace lemonstair::net {
+
+using Tenths = std::int64_t;
+
+class Clock {
+  public:
+    Tenths now() const { return set_to_ + tenths(Steady::now() - started_); }
+
+  private:
+    using Steady = std::chrono::steady_clock;
+    template <class Span>
+    static Tenths tenths(Span span) {
+        return std::chrono::duration_cast<std::chrono::duration<Tenths, std::ratio<1, 10000>>>(span).count();
+    }
+    Steady::time_point started_ = Steady::now();
+    Tenths set_to_ = tenths(std::chrono::system_clock::now().time_since_epoch());
+};
+
+// Up, so that a host is not taken for older than it is.
+constexpr Tenths tenths_of_unix_ms(std::int64_t ms) { return ms * 10; }
+
+}  // namespace lemonstair::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,55 @@
+#include "net/loop.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+
+namespace lemonstair::net {
+
+std::uint32_t Loop::add(int fd, short events, Waiter& waiter, std::uint64_t token) {
+    if (free_.empty()) {
+        free_.push_back(static_cast<std::uint32_t>(polled_.size()));
+        polled_.push_back({-1, 0, 0});
+        uses_.emplace_back();
+    }
+    const std::uint32_t slot = free_.back();
+    free_.pop_back();
+    polled_[slot] = {fd, events, 0};
+    uses_[slot].waiter = &waiter;
+    uses_[slot].token = token;
+    return slot;
+}
+
+void Loop::remove(std::uint32_t slot) {
+    polled_[slot] = {-1, 0, 0};  // poll passes over a negative descriptor
+    uses_[slot].waiter = nullptr;
+    ++uses_[slot].serial;
+    free_.push_back(slot);
+}
+
+void Loop::wait() {
+    tick();
+    Tenths span = 10000;
+    if (!timers_.empty()) span = std::clamp<Tenths>(timers_.top().at - now_, 0, span);
+    happened_.clear();
+    const int n = ::poll(polled_.data(), polled_.size(), static_cast<int>((span + 9) / 10));
+    if (n < 0 && errno != EINTR && errno != EAGAIN)
+        throw std::system_error(errno, std::generic_category(), "poll");
+    for (std::uint32_t slot = 0, left = n > 0 ? static_cast<std::uint32_t>(n) : 0; left > 0 && slot < polled_.size();
+         ++slot) {
+        if (polled_[slot].revents == 0) continue;
+        happened_.push_back({slot, uses_[slot].serial, polled_[slot].revents});
+        --left;
+    }
+}
+
+void Socket::reset() {
+    if (!open()) return;
+    const linger at_once{1, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    close();
+}
+
+}  // namespace lemonstair::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,132 @@
+// The poll loop: which descriptors are waited for, and timers. A descriptor has a numbered slot; a slot's
+// serial tells one use of it from the next, so an event of this pass never reaches who took the slot in it.
+#pragma once
+
+#include <poll.h>
+
+#include <cstdint>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "net/clock.h"
+#include "net/fd.h"
+
+namespace lemonstair::net {
+
+// Who waits for a descriptor or a timer; the token is what it gave when it asked.
+class Waiter {
+  public:
+    Waiter() = default;
+    Waiter(const Waiter&) = delete;
+    Waiter& operator=(const Waiter&) = delete;
+    virtual ~Waiter() = default;
+    virtual void ready(std::uint64_t token, short events) = 0;
+    virtual void due(std::uint64_t token) = 0;
+};
+
+class Loop {
+  public:
+    explicit Loop(const Clock& clock) : clock_(clock) {}
+    Tenths now() const { return now_; }
+    std::uint32_t add(int fd, short events, Waiter& waiter, std::uint64_t token);
+    void wait_for(std::uint32_t slot, short events) { polled_[slot].events = events; }
+    void remove(std::uint32_t slot);
+    // There is no way to unset a timer: its waiter tells by the token whether it still counts.
+    void at(Tenths when, Waiter& waiter, std::uint64_t token) { timers_.push({when, order_++, &waiter, token}); }
+    std::size_t descriptors() const { return polled_.size() - free_.size(); }
+    // One pass: waits, then calls each waiter whose descriptor is ready or whose timer is due, and `after`
+    // when it returns.
+    template <class After>
+    void turn(After&& after) {
+        wait();
+        for (const auto& event : happened_) {
+            if (uses_[event.slot].serial != event.serial || uses_[event.slot].waiter == nullptr) continue;
+            tick();
+            uses_[event.slot].waiter->ready(uses_[event.slot].token, event.events);
+            after();
+        }
+        tick();
+        while (!timers_.empty() && timers_.top().at <= now_) {
+            const Timer timer = timers_.top();
+            timers_.pop();
+            timer.waiter->due(timer.token);
+            after();
+            tick();
+        }
+    }
+
+  private:
+    struct Use {
+        Waiter* waiter = nullptr;
+        std::uint64_t token = 0;
+        std::uint32_t serial = 0;
+    };
+    struct Event {
+        std::uint32_t slot, serial;
+        short events;
+    };
+    struct Timer {
+        Tenths at;
+        std::uint64_t order;
+        Waiter* waiter;
+        std::uint64_t token;
+        bool operator<(const Timer& other) const {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+    void wait();
+    void tick() { now_ = clock_.now(); }
+
+    const Clock& clock_;
+    Tenths now_ = clock_.now();
+    std::vector<pollfd> polled_;
+    std::vector<Use> uses_;
+    std::vector<std::uint32_t> free_;
+    std::vector<Event> happened_;
+    std::priority_queue<Timer> timers_;
+    std::uint64_t order_ = 0;
+};
+
+// A descriptor in the loop: leaves the loop and closes when it goes.
+class Socket {
+  public:
+    Socket() = default;
+    Socket(Loop& loop, Fd fd, short events, Waiter& waiter, std::uint64_t token)
+        : loop_(&loop), fd_(std::move(fd)), slot_(loop.add(fd_.get(), events, waiter, token)), events_(events) {}
+    Socket(Socket&& other) noexcept
+        : loop_(other.loop_), fd_(std::move(other.fd_)), slot_(other.slot_), events_(other.events_) {}
+    Socket& operator=(Socket&& other) noexcept {
+        if (this != &other) {
+            close();
+            loop_ = other.loop_;
+            slot_ = other.slot_;
+            events_ = other.events_;
+            fd_ = std::move(other.fd_);
+        }
+        return *this;
+    }
+    ~Socket() { close(); }
+    void close() {
+        if (!open()) return;
+        loop_->remove(slot_);
+        fd_.close();
+    }
+    // The other side sees a reset.
+    void reset();
+    void wait_for(short events) {
+        if (!open() || events == events_) return;
+        events_ = events;
+        loop_->wait_for(slot_, events);
+    }
+    bool open() const { return fd_.open(); }
+    int fd() const { return fd_.get(); }
+
+  private:
+    Loop* loop_ = nullptr;
+    Fd fd_;
+    std::uint32_t slot_ = 0;
+    short events_ = 0;
+};
+
+}  // namespace lemonstair::net
