--- /dev/null
+++ b/src/config/launch.cpp
@@ -0,0 +1,97 @@
+#include "config/launch.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "config/terms.h"
+
+namespace lemonstair::config {
+
+namespace {
+
+constexpr std::uint64_t usual_sockets = 4096;
+constexpr double usual_connect_timeout_s = 0.25;
+
+net::Address read_address(const json::Value& file, std::string_view key) {
+    const auto at = net::parse_address(file.text(key));
+    if (!at) file.fail(key, "is not an address and a port");
+    return *at;
+}
+
+std::optional<net::Address> read_address_if_any(const json::Value& file, std::string_view key) {
+    if (!file.has(key)) return std::nullopt;
+    return read_address(file, key);
+}
+
+std::uint64_t read_seed(const json::Value& file) {
+    const auto digits = file.text("seed");
+    std::uint64_t seed = 0;
+    const char* end = digits.data() + digits.size();
+    const auto [stop, error] = std::from_chars(digits.data(), end, seed, 16);
+    if (digits.empty() || error != std::errc{} || stop != end) file.fail("seed", "is not hex digits");
+    return seed;
+}
+
+// The system may allow fewer descriptors than the file grants.
+std::size_t allowed_descriptors(std::uint64_t granted) {
+    rlimit now{};
+    if (::getrlimit(RLIMIT_NOFILE, &now) != 0) return granted;
+    if (now.rlim_cur < granted && now.rlim_cur < now.rlim_max) {
+        now.rlim_cur = std::min<rlim_t>(granted, now.rlim_max);
+        static_cast<void>(::setrlimit(RLIMIT_NOFILE, &now));
+        static_cast<void>(::getrlimit(RLIMIT_NOFILE, &now));
+    }
+    return std::min<std::uint64_t>(granted, now.rlim_cur);
+}
+
+void check(const json::Value& settings, const Terms& t) {
+    if (t.profiles.empty()) settings.fail("profiles", "names no profile");
+    if (t.profiles.size() > 1000) settings.fail("profiles", "holds too many");
+    if (t.nodes == 0 || t.nodes > 100000) settings.fail("balancers", "is out of range");
+    if (t.me >= t.nodes) settings.fail("me", "is not below 'balancers'");
+    if (t.limits.max_setups < 1) settings.fail("max_setups", "is not 1 or more");
+    for (const auto& p : t.profiles)
+        if (p.client_timeout <= 0 || p.setup_goal <= 0) settings.fail("client_timeout", "or 'setup_goal' is not above 0");
+}
+
+}  // namespace
+
+Launch read_launch(const json::Value& file) {
+    if (file.type() != json::Type::object) throw json::Malformed("the configuration is not an object");
+    Launch l;
+    const json::Value settings = file.inner("settings").told_as("settings"), limits = file.inner("limits");
+    if (!file.has("settings")) file.fail("settings", "is missing");
+    l.terms = read_terms(settings, read_seed(file));
+    check(settings, l.terms);
+    l.name = file.text("name", "node");
+    l.listen = read_address(file, "listen");
+    l.discovery = read_address(file, "discovery");
+    l.peer_listen = read_address_if_any(file, "peer_listen");
+    l.peers_all = read_address_if_any(file, "peers_all");
+    file.each("peers", [&](const json::Value& one) {
+        const auto at = net::parse_address(one.type() == json::Type::text ? one.raw() : "");
+        if (!at) file.fail("peers", "holds what is not an address and a port");
+        l.peers.push_back(*at);
+    });
+    if (l.terms.limits.peers && l.terms.nodes > 1 && (l.peers.size() != l.terms.nodes || !l.peer_listen))
+        file.fail("peers", "does not name one address a node, or 'peer_listen' is missing");
+    settings.each("profiles", [&](const json::Value& one) { l.profiles.emplace_back(one.text("name")); });
+    settings.each("zones", [&](const json::Value& one) {
+        if (one.type() != json::Type::text) settings.fail("zones", "holds what is not a name");
+        l.zones.emplace_back(one.raw());
+    });
+    const json::Value allowed = settings.inner("limits");
+    l.connect_timeout = down(allowed.number("connect_timeout", usual_connect_timeout_s));
+    if (l.connect_timeout <= 0) allowed.fail("connect_timeout", "is not above 0");
+    l.sockets = allowed_descriptors(limits.whole("sockets", usual_sockets));
+    if (l.sockets < 32) limits.fail("sockets", "is under 32: too few to serve");
+    const json::Value domain = settings.inner("domain");
+    l.packets_pass = domain.text("mode", "proxy") == "pass";
+    l.tells_delay = domain.flag("tells_delay");
+    l.reports = settings.inner("report").text("via", "none") != "none";
+    return l;
+}
+
+}  // namespace lemonstair::config
--- /dev/null
+++ b/src/config/launch.h
@@ -0,0 +1,33 @@
+// What a node is told at its start: read, checked and given defaults here and nowhere else.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "balance/balance.h"
+#include "json/json.h"
+#include "net/sockets.h"
+
+namespace lemonstair::config {
+
+struct Launch {
+    Terms terms;
+    std::string name;
+    std::vector<std::string> profiles, zones;  // names, in the settings' order
+    net::Address listen, discovery;
+    std::optional<net::Address> peer_listen, peers_all;
+    std::vector<net::Address> peers;  // in the order of the nodes' numbers, this one's own among them
+    Tenths connect_timeout = 0;
+    std::size_t sockets = 0;     // descriptors that the node may hold
+    bool packets_pass = false;   // connections go on through another node when this one dies
+    bool tells_delay = false;    // the module wants to hear how long messages take
+    bool reports = false;        // hosts tell their load when probed
+};
+
+// Throws json::Malformed, which names the faulty key.
+Launch read_launch(const json::Value& file);
+
+}  // namespace lemonstair::config
--- /dev/null
+++ b/src/discovery/hosts.cpp
@@ -0,0 +1,80 @@
+#include "discovery/hosts.h"
+
+#include <algorithm>
+
+#include "balance/state.h"
+#include "config/terms.h"
+#include "net/clock.h"
+
+namespace lemonstair::discovery {
+
+std::uint32_t Hosts::place_of(std::string_view id) const {
+    const auto it = by_id_.find(std::string(id));
+    return it == by_id_.end() ? none : it->second;
+}
+
+bool Hosts::take(const json::Value& list, Balancer& balancer, bool remembered) {
+    std::uint64_t revision = 0;
+    bool whole = false;
+    try {
+        revision = list.whole("revision");
+        whole = list.flag("complete");
+        if (!list.has("members")) list.fail("members", "is missing");
+        // An old list or one heard before holds nothing new; taking it would bring back what is over.
+        if (!remembered && revision <= revision_) {
+            balancer.list_begin(ListKind::changes);
+            balancer.list_end();
+            return true;
+        }
+        // With one unreadable entry a whole list is taken as changes only: none is gone for not being read.
+        bool readable = true;
+        list.each("members", [&](const json::Value& m) {
+            readable = readable && m.type() == json::Type::object && m.has("id") && m.has("phase");
+        });
+        if (!readable) log_.error() << "list " << revision << " holds entries that cannot be read";
+        balancer.list_begin(remembered ? ListKind::remembered
+                            : whole && readable ? ListKind::whole
+                                                : ListKind::changes);
+    } catch (const json::Malformed& e) {
+        log_.error() << "list not taken: " << e.what();
+        return false;
+    }
+    list.each("members", [&](const json::Value& m) {
+        try {
+            take_member(m, balancer);
+        } catch (const json::Malformed& e) {
+            log_.error() << "entry of list " << revision << " passed over: " << e.what();
+        }
+    });
+    balancer.list_end();
+    // What a node remembers may lack entries: then the watch begins with the whole list.
+    revision_ = remembered && !whole ? 0 : std::max(revision_, revision);
+    return true;
+}
+
+void Hosts::take_member(const json::Value& m, Balancer& balancer) {
+    const std::string id(m.text("id"));
+    const Life life = config::pick<Life>(
+        m.text("phase"),
+        {{"in_service", Life::in_service}, {"terminating", Life::draining}, {"terminated", Life::gone}}, "phase");
+    const auto zone = std::find(zones_.begin(), zones_.end(), m.text("locality", ""));
+    const auto cell = m.small("cell", 0);
+    const auto size = m.number("size", 1);
+    const auto started = static_cast<std::int64_t>(m.number("up_since_ms", 0));
+    std::uint32_t place = place_of(id);
+    const auto at = net::parse_address(m.text("host_port", ""));
+    if (place == none) {
+        if (!at) m.fail("host_port", "is not an address and a port");
+        const auto ep = static_cast<std::uint32_t>(hash_text(id) & 0x7fffffff);
+        if (by_ep_.find(ep) != none) m.fail("id", "has the same number as another's");
+        place = static_cast<std::uint32_t>(hosts_.size());
+        hosts_.push_back({ep, *at});
+        by_id_.emplace(id, place);
+        by_ep_.put(ep, place);
+    }
+    if (at) hosts_[place].at = *at;
+    balancer.listed(hosts_[place].ep, static_cast<std::uint32_t>(zone - zones_.begin()), cell, life, size,
+                    net::tenths_of_unix_ms(std::max<std::int64_t>(started, 0)));
+}
+
+}  // namespace lemonstair::discovery
--- /dev/null
+++ b/src/discovery/hosts.h
@@ -0,0 +1,46 @@
+// The door for hosts: the ids and addresses that discovery gives become small places; the module and the other
+// nodes know a host by a number made of its id, which is the same at every node.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "balance/balance.h"
+#include "balance/id_index.h"
+#include "json/json.h"
+#include "log/log.h"
+#include "net/sockets.h"
+
+namespace lemonstair::discovery {
+
+class Hosts {
+  public:
+    static constexpr std::uint32_t none = IdIndex::none;
+    struct Host {
+        std::uint32_t ep = 0;
+        net::Address at;
+    };
+    Hosts(const std::vector<std::string>& zones, log::Log& log) : zones_(zones), log_(log) {}
+
+    // Takes one list or one change of it, and tells the Balancer what it holds. False where it is no list.
+    bool take(const json::Value& list, Balancer& balancer, bool remembered);
+    std::uint64_t revision() const { return revision_; }
+    std::uint32_t place_of(std::uint32_t ep) const { return by_ep_.find(ep); }
+    std::uint32_t place_of(std::string_view id) const;
+    const Host& operator[](std::uint32_t place) const { return hosts_[place]; }
+    std::size_t size() const { return hosts_.size(); }
+
+  private:
+    void take_member(const json::Value& member, Balancer& balancer);
+    const std::vector<std::string>& zones_;
+    log::Log& log_;
+    std::vector<Host> hosts_;
+    std::unordered_map<std::string, std::uint32_t> by_id_;
+    IdIndex by_ep_;
+    std::uint64_t revision_ = 0;
+};
+
+}  // namespace lemonstair::discovery
--- /dev/null
+++ b/src/discovery/watch.h
@@ -0,0 +1,62 @@
+// The watch on discovery: one call whose answer stays open and brings the changes of the list, a line each.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "discovery/http_lines.h"
+#include "json/json.h"
+#include "log/log.h"
+#include "net/buffer_pool.h"
+#include "net/loop.h"
+#include "net/sockets.h"
+
+namespace lemonstair::discovery {
+
+class Hearer {
+  public:
+    Hearer() = default;
+    Hearer(const Hearer&) = delete;
+    Hearer& operator=(const Hearer&) = delete;
+    virtual ~Hearer() = default;
+    // False where the line holds no list: the watch is then given up.
+    virtual bool list_heard(const json::Value& list) = 0;
+    virtual void nothing_new() = 0;
+    virtual void watch_lost() = 0;
+};
+
+class Watch final : public net::Waiter {
+  public:
+    Watch(net::Loop& loop, net::BufferPool& pool, const net::Address& discovery, Hearer& hearer, log::Log& log)
+        : loop_(loop), pool_(pool), discovery_(discovery), hearer_(hearer), log_(log) {}
+    // Nothing happens where a call is under way or stands.
+    void open(std::uint64_t after_revision);
+    bool is_open() const { return phase_ != Phase::closed; }
+
+    void ready(std::uint64_t token, short events) override;
+    void due(std::uint64_t token) override;
+
+  private:
+    enum class Phase : std::uint8_t { closed, connecting, asking, standing };
+    void ask();
+    void read();
+    bool take(std::string_view line);
+    void lose(std::string_view why);
+    void go(Phase to, net::Tenths patience);
+
+    net::Loop& loop_;
+    net::BufferPool& pool_;
+    net::Address discovery_;
+    Hearer& hearer_;
+    log::Log& log_;
+    net::Socket socket_;
+    std::string question_;
+    HttpLines lines_;
+    json::Document line_;
+    Phase phase_ = Phase::closed;
+    net::Tenths dead_at_ = 0;
+    std::uint64_t call_ = 0;
+};
+
+}  // namespace lemonstair::discovery
--- /dev/null
+++ b/src/log/log.cpp
@@ -0,0 +1,57 @@
+#include "log/log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <climits>
+
+namespace lemonstair::log {
+
+std::optional<Level> level_of(std::string_view name) {
+    if (name == "error") return Level::error;
+    if (name == "info") return Level::info;
+    if (name == "debug") return Level::debug;
+    return std::nullopt;
+}
+
+Lines::int_type Lines::overflow(int_type c) {
+    if (c != traits_type::eof()) line_.push_back(static_cast<char>(c));
+    return traits_type::not_eof(c);
+}
+
+std::streamsize Lines::xsputn(const char* text, std::streamsize n) {
+    line_.append(text, static_cast<std::size_t>(n));
+    return n;
+}
+
+void Lines::end_line() {
+    line_.push_back('\n');
+    if (dropped_ > 0 && waiting_.size() + line_.size() < most_waiting / 2) {
+        waiting_.append("log lines dropped: ").append(std::to_string(dropped_)).append("\n");
+        dropped_ = 0;
+    }
+    if (waiting_.size() + line_.size() <= most_waiting)
+        waiting_.append(line_);
+    else
+        ++dropped_;
+    line_.clear();
+    write_out();
+}
+
+// A pipe that poll calls writable takes PIPE_BUF bytes without blocking, so no more are written at once. The
+// descriptor may be shared with other processes: making it non-blocking would change it for them too.
+void Lines::write_out() {
+    std::size_t sent = 0;
+    while (sent < waiting_.size()) {
+        pollfd p{fd_, POLLOUT, 0};
+        if (::poll(&p, 1, 0) <= 0 || (p.revents & POLLOUT) == 0) break;
+        const ssize_t n =
+            ::write(fd_, waiting_.data() + sent, std::min<std::size_t>(waiting_.size() - sent, PIPE_BUF));
+        if (n <= 0) break;
+        sent += static_cast<std::size_t>(n);
+    }
+    waiting_.erase(0, sent);
+}
+
+}  // namespace lemonstair::log
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,168 @@
+#include "node/node.h"
+
+#include <poll.h>
+#include <sys/signalfd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <system_error>
+
+namespace lemonstair::node {
+
+namespace {
+
+constexpr Tenths look_over_every = 2500, tally_every = 100000;
+// After the word to leave the front goes on sending clients for a while; those are moved with the rest.
+constexpr Tenths move_after = 5000, move_within = 10000;
+constexpr Tenths first_pause = 2500, longest_pause = 50000;
+
+enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer };
+
+// SIGTERM comes as bytes on a descriptor of the loop: no handler interrupts anything.
+net::Fd signals() {
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    if (::sigprocmask(SIG_BLOCK, &set, nullptr) != 0)
+        throw std::system_error(errno, std::generic_category(), "sigprocmask");
+    net::Fd fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+    if (!fd.open()) throw std::system_error(errno, std::generic_category(), "signalfd");
+    return fd;
+}
+
+std::string_view name_of(int phase) {
+    constexpr std::array<std::string_view, 4> names{"starting", "serving", "leaving", "left"};
+    return names[static_cast<std::size_t>(phase)];
+}
+
+}  // namespace
+
+Node::Node(config::Launch launch, const json::Value& known, log::Log& log)
+    : launch_(std::move(launch)),
+      log_(log),
+      hosts_(launch_.zones, log_),
+      stages_(loop_, launch_, hosts_, log_),
+      peers_(loop_, launch_,
+             [this](std::uint32_t node, std::span<const std::uint8_t> bytes) {
+                 stages_.floor.mind().told(node, bytes);
+             }),
+      orders_(loop_, peers_, log_),
+      watch_(loop_, stages_.floor.pool, launch_.discovery, *this, log_),
+      prober_(loop_, stages_.floor.pool, hosts_, *this, launch_.reports, launch_.connect_timeout),
+      balancer_(Balancer::start(launch_.terms, orders_, loop_.now())),
+      rng_(launch_.terms.seed),
+      signals_(loop_, signals(), POLLIN, *this, 0) {
+    orders_.decide_by(*balancer_);
+    stages_.floor.balancer = balancer_.get();
+    const json::Value list = known.told_as("known");
+    if (list.type() == json::Type::object) hosts_.take(list, stages_.floor.mind(), true);
+    stages_.take_in.listen_on(launch_.listen);
+    for (const auto& [timer, every] : {std::pair{look_over_timer, look_over_every}, {tally_timer, tally_every}})
+        loop_.at(loop_.now() + every, *this, timer);
+    if (!launch_.terms.must_ask) watch_.open(hosts_.revision());
+    go(Phase::serving);
+}
+
+void Node::go(Phase to) {
+    const auto& floor = stages_.floor;
+    log_.info() << launch_.name << ": " << name_of(static_cast<int>(phase_)) << " -> "
+                << name_of(static_cast<int>(to)) << ", " << hosts_.size() << " hosts known, " << floor.in_hand
+                << " tunnels, room for " << stages_.admit.room();
+    phase_ = to;
+}
+
+void Node::run() {
+    while (phase_ != Phase::left) {
+        loop_.turn([this] { orders_.carry_out([this](const Orders::Order& order) { carry_out(order); }); });
+        log_.write_out();
+    }
+}
+
+void Node::carry_out(const Orders::Order& order) {
+    switch (order.kind) {
+        case Orders::Kind::set_up: return stages_.route.set_up(order.tun, order.ep, order.span);
+        case Orders::Kind::decline: return stages_.route.decline(order.tun, order.span);
+        case Orders::Kind::close_with_error: return stages_.route.close_with_error(order.tun);
+        case Orders::Kind::move: return stages_.route.move(order.tun);
+        case Orders::Kind::probe: return prober_.probe(order.ep);
+        case Orders::Kind::watch: return watch_.open(hosts_.revision());
+    }
+}
+
+bool Node::list_heard(const json::Value& list) {
+    const bool taken = hosts_.take(list, stages_.floor.mind(), false);
+    if (taken) failed_calls_ = 0;
+    return taken;
+}
+
+void Node::nothing_new() {
+    Balancer& mind = stages_.floor.mind();
+    mind.list_begin(ListKind::changes);
+    mind.list_end();
+    failed_calls_ = 0;
+}
+
+// Where the node must ask, the module says when to ask again; else the watch comes back by itself, later after
+// each failure and by chance, so that not all nodes call discovery at once when it is back.
+void Node::watch_lost() {
+    Balancer& mind = stages_.floor.mind();
+    mind.list_begin(ListKind::failed);
+    mind.list_end();
+    if (launch_.terms.must_ask) return;
+    const Tenths pause = std::min(longest_pause, first_pause << std::min(failed_calls_++, 5));
+    loop_.at(loop_.now() + pause / 2 + static_cast<Tenths>(rng_() % static_cast<std::uint32_t>(pause)), *this,
+             list_timer);
+}
+
+void Node::probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report) {
+    stages_.floor.mind().probed(ep, ending, took, report);
+}
+
+void Node::ready(std::uint64_t, short) {
+    signalfd_siginfo info{};
+    while (::read(signals_.fd(), &info, sizeof info) == sizeof info) {
+        if (phase_ != Phase::serving) continue;
+        leaving_since_ = loop_.now();
+        go(Phase::leaving);
+    }
+}
+
+void Node::due(std::uint64_t token) {
+    if (token == look_over_timer) return look_over();
+    if (token == list_timer) return watch_.open(hosts_.revision());
+    loop_.at(loop_.now() + tally_every, *this, tally_timer);
+    const auto& floor = stages_.floor;
+    const auto& n = floor.tally;
+    log_.info() << "tunnels in hand " << floor.in_hand << ", buffers out " << floor.pool.out() << ", descriptors "
+                << loop_.descriptors() << "; so far taken " << n.taken << ", opened " << n.opened << ", declined "
+                << n.declined << " (" << n.busy << " for want of room), closed with error " << n.failed
+                << ", moved " << n.moved << " (" << n.silent << " off silent hosts)";
+}
+
+void Node::look_over() {
+    loop_.at(loop_.now() + look_over_every, *this, look_over_timer);
+    stages_.relay.look_over();
+    if (phase_ != Phase::leaving || loop_.now() - leaving_since_ < move_after) return;
+    if (stages_.floor.in_hand == 0) return go(Phase::left);
+    // Packets that pass go on through another node: there a move would only break what goes on unbroken.
+    if (!launch_.packets_pass) move_all();
+}
+
+// Spread over a second, so that not all clients come again at once, and over well before the end.
+void Node::move_all() {
+    auto& floor = stages_.floor;
+    const Tenths since = loop_.now() - leaving_since_ - move_after;
+    const Tenths left = std::max<Tenths>(move_within - since, 1);
+    const auto rounds = static_cast<std::size_t>(1 + left / look_over_every);
+    std::size_t quota = floor.in_hand / rounds + 1;
+    for (std::uint32_t at = 0; at < floor.tunnels.places() && quota > 0; ++at) {
+        if (!floor.tunnels.used(at) || floor.tunnels[at].state != tunnel::State::relaying) continue;
+        stages_.relay.move(floor.id_of(at));
+        --quota;
+    }
+}
+
+}  // namespace lemonstair::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,61 @@
+// The node: its parts, and its phases from start to exit.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string_view>
+
+#include "balance/balance.h"
+#include "config/launch.h"
+#include "discovery/hosts.h"
+#include "discovery/watch.h"
+#include "log/log.h"
+#include "net/clock.h"
+#include "net/loop.h"
+#include "node/orders.h"
+#include "node/peer_link.h"
+#include "probe/prober.h"
+#include "tunnel/stages.h"
+
+namespace lemonstair::node {
+
+class Node final : discovery::Hearer, probe::Hearer, net::Waiter {
+  public:
+    Node(config::Launch launch, const json::Value& known, log::Log& log);
+    // Until the node has left.
+    void run();
+
+  private:
+    enum class Phase : std::uint8_t { starting, serving, leaving, left };
+    void go(Phase to);
+    void carry_out(const Orders::Order& order);
+    void look_over();
+    void move_all();
+
+    bool list_heard(const json::Value& list) override;
+    void nothing_new() override;
+    void watch_lost() override;
+    void probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report) override;
+    void ready(std::uint64_t token, short events) override;
+    void due(std::uint64_t token) override;
+
+    config::Launch launch_;
+    log::Log& log_;
+    net::Clock clock_;
+    net::Loop loop_{clock_};
+    discovery::Hosts hosts_;
+    tunnel::Stages stages_;
+    PeerLink peers_;
+    Orders orders_;
+    discovery::Watch watch_;
+    probe::Prober prober_;
+    std::unique_ptr<Balancer> balancer_;
+    std::minstd_rand rng_;
+    net::Socket signals_;
+    Phase phase_ = Phase::starting;
+    Tenths leaving_since_ = 0;
+    int failed_calls_ = 0;
+};
+
+}  // namespace lemonstair::node
--- /dev/null
+++ b/src/node/peer_link.cpp
@@ -0,0 +1,57 @@
+#include "node/peer_link.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <array>
+
+#include "net/sockets.h"
+
+namespace lemonstair::node {
+
+namespace {
+
+constexpr std::size_t longest = 256;
+constexpr int reads_a_pass = 64;
+
+}  // namespace
+
+PeerLink::PeerLink(net::Loop& loop, const config::Launch& launch, Heard heard)
+    : launch_(launch), heard_(std::move(heard)) {
+    if (launch.terms.limits.peers && launch.peer_listen)
+        socket_ = net::Socket(loop, net::datagrams_on(*launch.peer_listen), POLLIN, *this, 0);
+}
+
+// One that cannot go now is lost: the module counts on no datagram.
+void PeerLink::send(const net::Address& to, std::span<const std::uint8_t> bytes) {
+    if (!socket_.open() || bytes.size() > longest) return;
+    static_cast<void>(::sendto(socket_.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
+                               reinterpret_cast<const sockaddr*>(&to.at), sizeof to.at));
+}
+
+void PeerLink::tell(std::uint32_t node, std::span<const std::uint8_t> bytes) {
+    if (node < launch_.peers.size() && node != launch_.terms.me) send(launch_.peers[node], bytes);
+}
+
+void PeerLink::tell_all(std::span<const std::uint8_t> bytes) {
+    if (launch_.peers_all) return send(*launch_.peers_all, bytes);
+    for (std::uint32_t n = 0; n < launch_.peers.size(); ++n) tell(n, bytes);
+}
+
+void PeerLink::ready(std::uint64_t, short) {
+    std::array<std::uint8_t, longest + 1> bytes{};
+    for (int i = 0; i < reads_a_pass; ++i) {
+        net::Address from;
+        socklen_t size = sizeof from.at;
+        const ssize_t n = ::recvfrom(socket_.fd(), bytes.data(), bytes.size(), 0,
+                                     reinterpret_cast<sockaddr*>(&from.at), &size);
+        if (n < 0) return;
+        if (static_cast<std::size_t>(n) > longest) continue;
+        // Only the listed addresses are peers: what comes from others is nobody's word.
+        for (std::uint32_t node = 0; node < launch_.peers.size(); ++node)
+            if (node != launch_.terms.me && launch_.peers[node] == from)
+                heard_(node, {bytes.data(), static_cast<std::size_t>(n)});
+    }
+}
+
+}  // namespace lemonstair::node
--- /dev/null
+++ b/src/node/peer_link.h
@@ -0,0 +1,30 @@
+// The datagrams between the nodes of a tier. A node is known by the address that it sends from.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <span>
+
+#include "config/launch.h"
+#include "net/loop.h"
+
+namespace lemonstair::node {
+
+class PeerLink final : public net::Waiter {
+  public:
+    // Hears the number of the node that a datagram came from, and its bytes.
+    using Heard = std::function<void(std::uint32_t node, std::span<const std::uint8_t> bytes)>;
+    PeerLink(net::Loop& loop, const config::Launch& launch, Heard heard);
+    void tell(std::uint32_t node, std::span<const std::uint8_t> bytes);
+    void tell_all(std::span<const std::uint8_t> bytes);
+    void ready(std::uint64_t token, short events) override;
+    void due(std::uint64_t) override {}
+
+  private:
+    void send(const net::Address& to, std::span<const std::uint8_t> bytes);
+    const config::Launch& launch_;
+    Heard heard_;
+    net::Socket socket_;
+};
+
+}  // namespace lemonstair::node
--- /dev/null
+++ b/src/probe/prober.cpp
@@ -0,0 +1,149 @@
+#include "probe/prober.h"
+
+#include <poll.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cmath>
+
+#include "config/terms.h"
+#include "net/sockets.h"
+
+namespace lemonstair::probe {
+
+namespace {
+
+constexpr Tenths idle_for = 200000;  // a host holds only so many connections: an unused one is closed
+constexpr int answer_timeouts = 2;   // in times of the time that a connection may take to come up
+
+}  // namespace
+
+bool read_pong(std::string_view line, Report& report) {
+    constexpr std::string_view word = "PONG";
+    if (line.substr(0, word.size()) != word) return false;
+    line.remove_prefix(word.size());
+    if (line.empty()) return true;
+    if (line.front() != ' ') return false;
+    line.remove_prefix(1);
+    while (!line.empty()) {
+        const auto end = std::min(line.find(','), line.size());
+        const auto pair = line.substr(0, end);
+        line.remove_prefix(std::min(end + 1, line.size()));
+        const auto equals = pair.find('=');
+        if (equals == std::string_view::npos) continue;
+        double* at = config::figure(report, pair.substr(0, equals));
+        const char* stop = pair.data() + pair.size();
+        double value = 0;
+        const auto read = std::from_chars(pair.data() + equals + 1, stop, value);
+        if (at != nullptr && read.ec == std::errc{} && read.ptr == stop && std::isfinite(value)) *at = value;
+    }
+    return true;
+}
+
+void Prober::probe(std::uint32_t ep) {
+    const std::uint32_t place = hosts_.place_of(ep);
+    if (place == discovery::Hosts::none) return;
+    if (lines_.size() <= place) lines_.resize(hosts_.size());
+    Line& l = lines_[place];
+    if (l.state == State::connecting || l.state == State::asking) return;
+    l.asked_at = loop_.now();
+    l.used_before = l.state == State::idle;
+    if (l.state == State::idle) return ask(place);
+    connect(place);
+}
+
+void Prober::set_due(std::uint32_t place, Tenths when) {
+    lines_[place].due = when;
+    loop_.at(when, *this, token_of(place));
+}
+
+void Prober::connect(std::uint32_t place) {
+    Line& l = lines_[place];
+    net::Fd fd = net::connect_to(hosts_[place].at);
+    if (!fd.open()) {
+        const bool ours = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == EADDRNOTAVAIL;
+        return found(place, ours ? Ending::not_sent : Ending::unreachable, {});
+    }
+    l.socket = net::Socket(loop_, std::move(fd), POLLOUT, *this, token_of(place));
+    l.state = State::connecting;
+    set_due(place, loop_.now() + connect_timeout_);
+}
+
+void Prober::ask(std::uint32_t place) {
+    Line& l = lines_[place];
+    const std::string_view question = reports_ ? "STATS\r\n" : "PING\r\n";
+    l.state = State::asking;
+    if (net::write_some(l.socket.fd(), question).bytes != question.size()) return lost(place, Ending::unreachable);
+    l.socket.wait_for(POLLIN);
+    set_due(place, loop_.now() + answer_timeouts * connect_timeout_);
+}
+
+void Prober::close(std::uint32_t place) {
+    Line& l = lines_[place];
+    l.socket.close();
+    l.answer.give_back();
+    ++l.serial;
+    l.state = State::closed;
+}
+
+void Prober::ready(std::uint64_t token, short) {
+    const auto place = static_cast<std::uint32_t>(token);
+    if (place >= lines_.size() || token_of(place) != token) return;
+    Line& l = lines_[place];
+    if (l.state == State::connecting) {
+        if (net::connected(l.socket.fd()) != 0) return lost(place, Ending::unreachable);
+        return ask(place);
+    }
+    if (l.state == State::idle) return close(place);  // its host ends it, or says what nobody asked
+    read(place);
+}
+
+void Prober::read(std::uint32_t place) {
+    Line& l = lines_[place];
+    if (!l.answer.held()) l.answer = pool_.take();
+    const auto [at, room] = l.answer.room();
+    const auto got = net::read_some(l.socket.fd(), {at, room});
+    if (got.error != 0 || got.ended) return lost(place, Ending::broken);
+    l.answer.added(got.bytes);
+    auto line = l.answer.view();
+    const auto end = line.find('\n');
+    if (end == std::string_view::npos) {
+        if (got.bytes == room) lost(place, Ending::error);
+        return;
+    }
+    line = line.substr(0, end);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    Report report;
+    const bool good = read_pong(line, report);
+    l.answer.give_back();
+    l.state = State::idle;
+    set_due(place, loop_.now() + idle_for);
+    found(place, good ? Ending::ok : Ending::error, report);
+}
+
+void Prober::lost(std::uint32_t place, Ending ending) {
+    const bool stale = lines_[place].used_before && ending != Ending::timed_out && ending != Ending::error;
+    close(place);
+    // A kept connection may have died unseen since its last use; only a new one tells of the host.
+    if (stale) {
+        lines_[place].used_before = false;
+        return connect(place);
+    }
+    found(place, ending, {});
+}
+
+void Prober::due(std::uint64_t token) {
+    const auto place = static_cast<std::uint32_t>(token);
+    if (place >= lines_.size() || token_of(place) != token || loop_.now() < lines_[place].due) return;
+    const State state = lines_[place].state;
+    if (state == State::idle) return close(place);
+    // A late answer would be taken for that of the next probe: the connection goes.
+    lines_[place].used_before = false;
+    lost(place, state == State::asking ? Ending::timed_out : Ending::unreachable);
+}
+
+void Prober::found(std::uint32_t place, Ending ending, const Report& report) {
+    hearer_.probed(hosts_[place].ep, ending, loop_.now() - lines_[place].asked_at, report);
+}
+
+}  // namespace lemonstair::probe
--- /dev/null
+++ b/src/probe/prober.h
@@ -0,0 +1,65 @@
+// Probes of hosts: one connection a host, kept while probes follow one another, asked for its load.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "balance/balance.h"
+#include "discovery/hosts.h"
+#include "net/buffer_pool.h"
+#include "net/loop.h"
+
+namespace lemonstair::probe {
+
+// Who hears what a probe found.
+class Hearer {
+  public:
+    Hearer() = default;
+    Hearer(const Hearer&) = delete;
+    Hearer& operator=(const Hearer&) = delete;
+    virtual ~Hearer() = default;
+    virtual void probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report) = 0;
+};
+
+class Prober final : public net::Waiter {
+  public:
+    Prober(net::Loop& loop, net::BufferPool& pool, const discovery::Hosts& hosts, Hearer& hearer, bool reports,
+           Tenths connect_timeout)
+        : loop_(loop), pool_(pool), hosts_(hosts), hearer_(hearer), reports_(reports), connect_timeout_(connect_timeout) {}
+    void probe(std::uint32_t ep);
+    void ready(std::uint64_t token, short events) override;
+    void due(std::uint64_t token) override;
+
+  private:
+    enum class State : std::uint8_t { closed, idle, connecting, asking };
+    struct Line {
+        net::Socket socket;
+        net::Buffer answer;
+        Tenths asked_at = 0, due = 0;
+        std::uint32_t serial = 0;
+        State state = State::closed;
+        bool used_before = false;
+    };
+    std::uint64_t token_of(std::uint32_t place) const { return std::uint64_t{lines_[place].serial} << 32 | place; }
+    void connect(std::uint32_t place);
+    void ask(std::uint32_t place);
+    void close(std::uint32_t place);
+    void read(std::uint32_t place);
+    void lost(std::uint32_t place, Ending ending);
+    void found(std::uint32_t place, Ending ending, const Report& report);
+    void set_due(std::uint32_t place, Tenths when);
+
+    net::Loop& loop_;
+    net::BufferPool& pool_;
+    const discovery::Hosts& hosts_;
+    Hearer& hearer_;
+    bool reports_;
+    Tenths connect_timeout_;
+    std::vector<Line> lines_;  // by place of the host
+};
+
+// "PONG inflight=7,queue=2": what the names mean goes into the report. False where it is no good answer.
+bool read_pong(std::string_view line, Report& report);
+
+}  // namespace lemonstair::probe
--- /dev/null
+++ b/src/tunnel/admit.h
@@ -0,0 +1,29 @@
+// Admit: whether the node can carry one more tunnel; if so, the module hears of it.
+#pragma once
+
+#include <string_view>
+
+#include "tunnel/book.h"
+#include "tunnel/floor.h"
+#include "tunnel/route.h"
+
+namespace lemonstair::tunnel {
+
+class Admit {
+  public:
+    Admit(Floor& floor, Route& route, Book& book) : floor_(floor), route_(route), book_(book) {}
+    void admit(Id id, const Arrival& arrival, std::string_view holder);
+    // Tunnels that fit the descriptors granted: two each, beside what the node needs for itself.
+    std::size_t room() const;
+    // Descriptors up to which connections are accepted, if only to be told that there is no room.
+    std::size_t door() const { return floor_.launch.sockets - spare; }
+
+  private:
+    // For the listener, discovery, the peers, the log and others; and for those who are told to go.
+    static constexpr std::size_t spare = 12;
+    Floor& floor_;
+    Route& route_;
+    Book& book_;
+};
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/book.h
@@ -0,0 +1,35 @@
+// Book: the last stage. A tunnel's final answer, its orderly end, and what the module hears of it.
+#pragma once
+
+#include <string_view>
+
+#include "tunnel/floor.h"
+
+namespace lemonstair::tunnel {
+
+class Book {
+  public:
+    explicit Book(Floor& floor) : floor_(floor) {}
+    // Final answers to a client that waits.
+    void decline(Id id, Tenths come_back_after);
+    void close_with_error(Id id);
+    // The client went away while it waited.
+    void client_left(Id id);
+    // The module hears, once, that an open tunnel is over.
+    void over(Id id, Ending ending);
+    // Its last bytes are written: ends both sides cleanly, reads what still comes until they are gone.
+    void depart(Id id);
+    // Both sides are dropped at once.
+    void drop(Id id);
+    void ready(Id id, Side side);
+    void due(Id id) {
+        if (floor_.loop.now() >= floor_.find(id)->due) drop(id);
+    }
+
+  private:
+    void answer(Id id, std::string_view line);
+    void drain(net::Socket& socket);
+    Floor& floor_;
+};
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/floor.h
@@ -0,0 +1,70 @@
+// What the stages of a tunnel share: the loop, the buffers, the slab of tunnels, the module, the hosts; and the
+// one function through which every change of a tunnel's state goes.
+#pragma once
+
+#include <cstdint>
+
+#include "balance/balance.h"
+#include "balance/slab.h"
+#include "config/launch.h"
+#include "discovery/hosts.h"
+#include "log/log.h"
+#include "net/buffer_pool.h"
+#include "net/loop.h"
+#include "tunnel/tunnel.h"
+
+namespace lemonstair::tunnel {
+
+// A tunnel's number: its place in the slab and the use of that place, so that a late word about one never
+// reaches the next. It is the module's number for it too, and with the side the token of its sockets.
+using Id = std::uint64_t;
+enum class Side : std::uint8_t { client, host };
+
+struct Tally {
+    std::uint64_t taken = 0, opened = 0, declined = 0, failed = 0, busy = 0, moved = 0, silent = 0;
+};
+
+struct Floor {
+    Floor(net::Loop& with, net::Waiter& stages, const config::Launch& by, discovery::Hosts& of, log::Log& to)
+        : loop(with), waiter(stages), launch(by), hosts(of), log(to) {}
+
+    Id id_of(std::uint32_t at) const { return Id{tunnels.serial(at) & 0x7fffffffU} << 32 | at; }
+    // Nothing where the tunnel is no more.
+    Tunnel* find(Id id) {
+        const auto at = static_cast<std::uint32_t>(id);
+        return tunnels.used(at) && id_of(at) == id ? &tunnels[at] : nullptr;
+    }
+    Id open(net::Fd client) {
+        const std::uint32_t at = tunnels.take();
+        tunnels[at].client = socket(id_of(at), Side::client, std::move(client), POLLIN);
+        ++in_hand;
+        return id_of(at);
+    }
+    net::Socket socket(Id id, Side side, net::Fd fd, short events) {
+        return {loop, std::move(fd), events, waiter, id << 1 | static_cast<std::uint64_t>(side)};
+    }
+    // The module, with the time told.
+    Balancer& mind() {
+        balancer->at(loop.now());
+        return *balancer;
+    }
+    void set_due(Id id, Tunnel& t, Tenths when) {
+        t.due = when;
+        loop.at(when, waiter, id << 1);
+    }
+    void go(Id id, State to);
+
+    net::Loop& loop;
+    net::Waiter& waiter;
+    const config::Launch& launch;
+    discovery::Hosts& hosts;
+    log::Log& log;
+    Balancer* balancer = nullptr;
+    net::BufferPool pool;
+    Slab<Tunnel> tunnels;
+    Tally tally;
+    std::size_t in_hand = 0;  // tunnels that are not free
+    std::size_t admitted = 0;  // of these, those that are past their first line
+};
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/relay.cpp
@@ -0,0 +1,251 @@
+#include "tunnel/relay.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "net/sockets.h"
+
+namespace lemonstair::tunnel {
+
+namespace {
+
+constexpr std::string_view move_line = "MOVE\r\n";
+// Clients send a line every few seconds, and a sound host answers at once: one that owes a line for this long
+// will not bring it. Before that the module hears how long it has been.
+constexpr Tenths silent_after = 60000, slow_after = 10000, told_every = 10000;
+// A side that has ended gets this long to take its last bytes and end the other way.
+constexpr Tenths longest_ending = 8000;
+constexpr int reads_a_pass = 4;
+
+Direction& into(Tunnel& t, Side side) { return side == Side::client ? t.down : t.up; }
+Direction& out_of(Tunnel& t, Side side) { return side == Side::client ? t.up : t.down; }
+net::Socket& socket(Tunnel& t, Side side) { return side == Side::client ? t.client : t.host; }
+Side other(Side side) { return side == Side::client ? Side::host : Side::client; }
+
+}  // namespace
+
+void Relay::begin(Id id) {
+    Tunnel& t = *floor_.find(id);
+    floor_.go(id, State::relaying);
+    const auto answer = t.down.waiting.view();
+    if (const auto more = answer.substr(answer.find('\n') + 1); !more.empty()) host_bytes(id, more);
+    if (t.opening.held()) {
+        client_bytes(t, t.opening.view());
+        t.up.waiting = std::move(t.opening);
+        if (t.up.waiting.empty()) t.up.waiting.give_back();
+    }
+    if (write(id, Side::client) && write(id, Side::host)) settle(id);
+}
+
+void Relay::ready(Id id, Side side, short events) {
+    Tunnel& t = *floor_.find(id);
+    if ((events & POLLOUT) != 0 && !write(id, side)) return;
+    if ((events & (POLLIN | POLLHUP | POLLERR)) != 0 && !out_of(t, side).ended && !read(id, side)) return;
+    // What a side that broke had sent cannot all be read while the other takes nothing.
+    if ((events & POLLERR) != 0 && (out_of(t, side).ended || out_of(t, side).waiting.held())) return broken(id, side);
+    settle(id);
+}
+
+// False once the tunnel is gone.
+bool Relay::read(Id id, Side from) {
+    Tunnel& t = *floor_.find(id);
+    Direction& way = out_of(t, from);
+    for (int i = 0; i < reads_a_pass && way.waiting.empty(); ++i) {
+        if (!way.waiting.held()) way.waiting = floor_.pool.take();
+        const auto [at, room] = way.waiting.room();
+        const auto got = net::read_some(socket(t, from).fd(), {at, room});
+        if (got.error != 0) return broken(id, from), false;
+        if (got.ended) {
+            way.ended = true;
+            floor_.set_due(id, t, floor_.loop.now() + longest_ending);
+            break;
+        }
+        if (got.bytes == 0) break;
+        way.waiting.added(got.bytes);
+        if (from == Side::client)
+            client_bytes(t, {at, got.bytes});
+        else
+            host_bytes(id, {at, got.bytes});
+        if (!write(id, other(from))) return false;
+    }
+    if (way.waiting.empty()) way.waiting.give_back();
+    return true;
+}
+
+// False once the tunnel is gone.
+bool Relay::write(Id id, Side to) {
+    Tunnel& t = *floor_.find(id);
+    Direction& way = into(t, to);
+    if (!way.waiting.empty()) {
+        const auto sent = net::write_some(socket(t, to).fd(), way.waiting.view());
+        if (sent.error != 0) return broken(id, to), false;
+        way.waiting.take(sent.bytes);
+        if (way.waiting.empty()) way.waiting.give_back();
+    }
+    return true;
+}
+
+void Relay::client_bytes(Tunnel& t, std::string_view bytes) {
+    if (bytes.empty()) return;
+    t.up.mid_line = bytes.back() != '\n';
+    const auto lines = static_cast<std::uint32_t>(std::count(bytes.begin(), bytes.end(), '\n'));
+    if (t.owed == 0 && lines > 0) t.waiting_since = floor_.loop.now();
+    t.owed += lines;
+}
+
+// Only the beginning of a line is kept: none that means something here is longer.
+void Relay::host_bytes(Id id, std::string_view bytes) {
+    Tunnel& t = *floor_.find(id);
+    t.down.mid_line = bytes.back() != '\n';
+    while (!bytes.empty()) {
+        const auto end = bytes.find('\n');
+        const auto part = bytes.substr(0, end);
+        const auto n = std::min(part.size(), t.head.size() - t.head_size);
+        std::copy_n(part.begin(), n, t.head.begin() + t.head_size);
+        t.head_size = static_cast<std::uint8_t>(t.head_size + n);
+        if (end == std::string_view::npos) return;
+        std::string_view line(t.head.data(), t.head_size);
+        if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+        t.head_size = 0;
+        host_line(id, line);
+        bytes.remove_prefix(end + 1);
+    }
+}
+
+void Relay::host_line(Id id, std::string_view line) {
+    Tunnel& t = *floor_.find(id);
+    if (line.substr(0, 5) == "LOAD ") {
+        double load = 0;
+        const char* end = line.data() + line.size();
+        const auto [stop, error] = std::from_chars(line.data() + 5, end, load);
+        if (error == std::errc{} && stop == end && std::isfinite(load) && load >= 0 && t.known)
+            floor_.mind().load_changed(id, load / 1e6);
+        return;
+    }
+    if (line == "BYE" || line.substr(0, 4) == "BYE ") t.ending = Ending::ok;
+    if (line == "MOVE") t.ending = Ending::called_off;
+    answered(id, t);
+}
+
+void Relay::answered(Id id, Tunnel& t) {
+    if (t.owed == 0) return;
+    const Tenths took = floor_.loop.now() - t.waiting_since;
+    if (floor_.launch.tells_delay) tell_slow(id, t.place, took);
+    --t.owed;
+    t.waiting_since = floor_.loop.now();
+}
+
+// Once a second for a host while messages take long there, and once more when they no longer do.
+void Relay::tell_slow(Id id, std::uint32_t place, Tenths takes) {
+    if (told_.size() <= place) told_.resize(floor_.hosts.size());
+    Tenths shortest = slow_after;
+    for (const auto& p : floor_.launch.terms.profiles)
+        if (p.message_goal > 0) shortest = std::min(shortest, p.message_goal / 3);
+    Told& told = told_[place];
+    const bool slow = takes > shortest;
+    if (slow ? floor_.loop.now() - told.at < told_every : !told.slow) return;
+    told = {floor_.loop.now(), slow};
+    floor_.mind().messages_slow(id, floor_.hosts[place].ep, takes);
+}
+
+// What each side is waited for follows from what waits for it; ends are passed on behind the last byte.
+void Relay::settle(Id id) {
+    Tunnel& t = *floor_.find(id);
+    const bool moving = t.state == State::moving;
+    for (const Side side : {Side::client, Side::host}) {
+        Direction& way = out_of(t, side);
+        if (way.ended && way.waiting.empty() && !way.end_passed) {
+            way.end_passed = true;
+            ::shutdown(socket(t, other(side)).fd(), SHUT_WR);
+        }
+    }
+    if (t.down.ended) {
+        if (t.up.ended && t.ending == Ending::broken) t.ending = Ending::called_off;
+        book_.over(id, t.ending);
+        // The host has ended: what the client still sends finds nobody.
+        if (t.down.end_passed) return book_.depart(id);
+    }
+    if (moving) {
+        const bool client_between = t.down.waiting.empty() && !t.down.mid_line;
+        const bool host_between = t.up.waiting.empty() && !t.up.mid_line;
+        if (client_between && (host_between || t.moves_on)) {
+            book_.over(id, t.ending);
+            if (net::write_some(t.client.fd(), move_line).bytes != move_line.size()) return book_.drop(id);
+            ++floor_.tally.moved;
+            return book_.depart(id);
+        }
+    }
+    // A client that is moved is read no further than to the end of its line.
+    const bool read_client = !t.up.ended && t.up.waiting.empty() && (!moving || t.up.mid_line);
+    const bool read_host = !t.down.ended && t.down.waiting.empty() && (!moving || t.down.mid_line);
+    t.client.wait_for(static_cast<short>((read_client ? POLLIN : 0) | (t.down.waiting.empty() ? 0 : POLLOUT)));
+    t.host.wait_for(static_cast<short>((read_host ? POLLIN : 0) | (t.up.waiting.empty() ? 0 : POLLOUT)));
+}
+
+void Relay::broken(Id id, Side side) {
+    Tunnel& t = *floor_.find(id);
+    // The client's going is no fault of the host, and a host that said why it ends has said it.
+    if (side == Side::client && t.ending == Ending::broken) t.ending = Ending::called_off;
+    book_.over(id, t.ending);
+    socket(t, other(side)).reset();
+    book_.drop(id);
+}
+
+void Relay::due(Id id) {
+    Tunnel& t = *floor_.find(id);
+    if (floor_.loop.now() < t.due) return;
+    if (t.state == State::moving && !t.moves_on) {  // the host's side is stuck in a line: the client goes first
+        t.moves_on = true;
+        floor_.set_due(id, t, floor_.loop.now() + longest_ending);
+        return settle(id);
+    }
+    const bool ending = t.down.ended || t.up.ended;
+    if (t.state == State::relaying && !ending) return;
+    if (t.up.ended && t.ending == Ending::broken) t.ending = Ending::called_off;
+    book_.over(id, t.ending);
+    if (t.down.waiting.empty()) return book_.depart(id);
+    t.client.reset();  // it does not take what its host has sent
+    book_.drop(id);
+}
+
+void Relay::move(Id id) {
+    Tunnel& t = *floor_.find(id);
+    if (t.state != State::relaying || t.down.ended || t.up.ended) return;
+    if (t.ending == Ending::broken && !t.moves_on) t.ending = Ending::called_off;
+    floor_.go(id, State::moving);
+    floor_.set_due(id, t, floor_.loop.now() + longest_ending);
+    settle(id);
+}
+
+// Guards against hosts that vanish or hang: their connections stay open and say nothing. Each host's oldest
+// unanswered line is told to the module; a tunnel that waited long enough is broken, and its client moved.
+void Relay::look_over() {
+    worst_.assign(floor_.hosts.size(), 0);
+    slowest_.assign(floor_.hosts.size(), 0);
+    silent_.clear();
+    for (std::uint32_t at = 0; at < floor_.tunnels.places(); ++at) {
+        if (!floor_.tunnels.used(at)) continue;
+        const Tunnel& t = floor_.tunnels[at];
+        if (t.state != State::relaying || t.owed == 0 || t.up.ended || t.down.ended) continue;
+        const Tenths age = floor_.loop.now() - t.waiting_since;
+        if (age >= silent_after) silent_.push_back(floor_.id_of(at));
+        if (age <= worst_[t.place]) continue;
+        worst_[t.place] = age;
+        slowest_[t.place] = floor_.id_of(at);
+    }
+    for (std::uint32_t place = 0; place < worst_.size(); ++place)
+        if (worst_[place] > slow_after) tell_slow(slowest_[place], place, worst_[place]);
+    for (const Id id : silent_) {
+        Tunnel* t = floor_.find(id);
+        if (t == nullptr || t->state != State::relaying) continue;
+        ++floor_.tally.silent;
+        t->moves_on = true;
+        move(id);
+    }
+}
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/relay.h
@@ -0,0 +1,46 @@
+// Relay: passes the bytes of an open tunnel both ways, tells the module of its load and of slow answers, and
+// moves clients.
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include "tunnel/book.h"
+#include "tunnel/floor.h"
+
+namespace lemonstair::tunnel {
+
+class Relay {
+  public:
+    Relay(Floor& floor, Book& book) : floor_(floor), book_(book) {}
+    // The host's UP and what came behind it wait to go down.
+    void begin(Id id);
+    void ready(Id id, Side side, short events);
+    void due(Id id);
+    void move(Id id);
+    // Looks for hosts that answer no line any more.
+    void look_over();
+
+  private:
+    bool read(Id id, Side from);
+    bool write(Id id, Side to);
+    void host_line(Id id, std::string_view line);
+    void host_bytes(Id id, std::string_view bytes);
+    void client_bytes(Tunnel& t, std::string_view bytes);
+    void answered(Id id, Tunnel& t);
+    void settle(Id id);
+    void broken(Id id, Side side);
+    void tell_slow(Id id, std::uint32_t place, Tenths takes);
+
+    struct Told {
+        Tenths at = 0;
+        bool slow = false;
+    };
+    Floor& floor_;
+    Book& book_;
+    std::vector<Told> told_;    // by place of the host
+    std::vector<Tenths> worst_;  // by place of the host
+    std::vector<Id> silent_, slowest_;
+};
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/send.cpp
@@ -0,0 +1,155 @@
+#include "tunnel/send.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <cerrno>
+
+#include "net/sockets.h"
+#include "tunnel/opening.h"
+
+namespace lemonstair::tunnel {
+
+namespace {
+
+// Between two tries for a tunnel that is open at its host.
+constexpr Tenths standing_pause = 3000;
+
+std::string_view first_line(std::string_view text) {
+    auto line = text.substr(0, text.find('\n'));
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    return line;
+}
+
+bool begins(std::string_view line, std::string_view word) {
+    return line.substr(0, word.size()) == word && (line.size() == word.size() || line[word.size()] == ' ');
+}
+
+}  // namespace
+
+void Send::start(Id id, std::uint32_t place, Tenths longest_wait) {
+    Tunnel& t = *floor_.find(id);
+    t.place = place;
+    ++t.setups;
+    t.setup_from = floor_.loop.now();
+    t.setup_until = longest_wait > 0 ? std::min(t.give_up_at, t.setup_from + longest_wait) : t.give_up_at;
+    connect(id);
+}
+
+void Send::resume_standing(Id id) {
+    Tunnel& t = *floor_.find(id);
+    t.setups = 1;
+    t.setup_from = floor_.loop.now();
+    t.setup_until = t.give_up_at;
+    connect(id);
+}
+
+void Send::connect(Id id) {
+    Tunnel& t = *floor_.find(id);
+    net::Fd fd = net::connect_to(floor_.hosts[t.place].at);
+    const int error = errno;
+    floor_.go(id, State::connecting);
+    if (!fd.open()) {
+        // Without a descriptor or a port of its own the node has nothing to hold against the host.
+        const bool ours = error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM ||
+                          error == EADDRNOTAVAIL || error == EAGAIN;
+        return failed(id, ours ? Ending::not_sent : Ending::unreachable);
+    }
+    t.host = floor_.socket(id, Side::host, std::move(fd), POLLOUT);
+    floor_.set_due(id, t, std::min(t.setup_until, floor_.loop.now() + floor_.launch.connect_timeout));
+}
+
+void Send::ready(Id id, Side side, short events) {
+    Tunnel& t = *floor_.find(id);
+    if (side == Side::client) {
+        if ((events & (POLLRDHUP | POLLHUP | POLLERR)) != 0) book_.client_left(id);
+        return;
+    }
+    if (t.state == State::connecting) {
+        if (net::connected(t.host.fd()) != 0) return failed(id, Ending::unreachable);
+        floor_.go(id, State::sending_line);
+        // For the host: how long this node will still wait.
+        t.up.waiting = floor_.pool.take();
+        if (!write_opening(first_line(t.opening.view()), t.setup_until - floor_.loop.now(), t.up.waiting))
+            return failed(id, Ending::not_sent);
+    }
+    if (t.state == State::sending_line) return write_line(id);
+    if (t.state == State::awaiting_answer) return read_answer(id);
+}
+
+// Until its last byte is with the system the line cannot have run; from then on it may have.
+void Send::write_line(Id id) {
+    Tunnel& t = *floor_.find(id);
+    const auto sent = net::write_some(t.host.fd(), t.up.waiting.view());
+    if (sent.error != 0) return failed(id, Ending::unreachable);
+    t.up.waiting.take(sent.bytes);
+    if (!t.up.waiting.empty()) return;
+    t.up.waiting.give_back();
+    t.host.wait_for(POLLIN);
+    floor_.go(id, State::awaiting_answer);
+    floor_.set_due(id, t, t.setup_until);
+}
+
+void Send::read_answer(Id id) {
+    Tunnel& t = *floor_.find(id);
+    if (!t.down.waiting.held()) t.down.waiting = floor_.pool.take();
+    const auto [at, room] = t.down.waiting.room();
+    const auto got = net::read_some(t.host.fd(), {at, room});
+    if (got.error != 0 || got.ended) return failed(id, Ending::broken);
+    t.down.waiting.added(got.bytes);
+    const auto text = t.down.waiting.view();
+    if (text.find('\n') != std::string_view::npos) return answered(id, first_line(text));
+    if (got.bytes == room) failed(id, Ending::error);  // a line without end
+}
+
+void Send::answered(Id id, std::string_view line) {
+    if (begins(line, "UP") || begins(line, "BYE")) return opened(id);
+    if (begins(line, "BUSY")) return failed(id, Ending::full);
+    if (begins(line, "MOVE")) return failed(id, Ending::called_off);
+    if (!begins(line, "ERR")) floor_.log.error() << "host answered a setup with '" << line.substr(0, 40) << "'";
+    failed(id, Ending::error);
+}
+
+void Send::opened(Id id) {
+    Tunnel& t = *floor_.find(id);
+    const std::uint32_t ep = floor_.hosts[t.place].ep;
+    ++floor_.tally.opened;
+    if (t.standing) {
+        Arrival arrival;
+        std::string_view holder;
+        read_opening(first_line(t.opening.view()), floor_.launch.profiles, floor_.loop.now(), arrival, holder);
+        t.known = true;
+        floor_.mind().adopt(id, arrival, ep);
+    } else {
+        floor_.mind().begun(id, t.setups - 1, ep, floor_.loop.now() - t.setup_from);
+    }
+    // The line itself stays behind: only what the client sent after it goes on to the host.
+    t.opening.take(t.opening.view().find('\n') + 1);
+    relay_.begin(id);
+}
+
+// The setup's connection is closed at once: nothing more of it may reach the client.
+void Send::failed(Id id, Ending ending) {
+    Tunnel& t = *floor_.find(id);
+    t.host.close();
+    t.up.waiting.give_back();
+    t.down.waiting.give_back();
+    floor_.go(id, State::deciding);
+    if (t.standing) return floor_.set_due(id, t, std::min(t.give_up_at, floor_.loop.now() + standing_pause));
+    t.due = 0;
+    floor_.mind().ended(id, t.setups - 1, floor_.hosts[t.place].ep, ending, floor_.loop.now() - t.setup_from, false);
+}
+
+void Send::due(Id id) {
+    Tunnel& t = *floor_.find(id);
+    if (floor_.loop.now() < t.due) return;
+    if (t.state == State::deciding) {
+        if (!t.standing || t.due == 0) return;
+        if (floor_.loop.now() < t.give_up_at) return resume_standing(id);
+        floor_.log.error() << "a tunnel that stood before the start was not taken by its host";
+        return book_.close_with_error(id);
+    }
+    failed(id, t.state == State::awaiting_answer ? Ending::timed_out : Ending::unreachable);
+}
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/stages.h
@@ -0,0 +1,62 @@
+// The chain of stages that a tunnel passes: take in, admit, route, send, relay, book. What happens to a tunnel's
+// sockets and timers goes to the stage that its state names.
+#pragma once
+
+#include "tunnel/admit.h"
+#include "tunnel/book.h"
+#include "tunnel/floor.h"
+#include "tunnel/relay.h"
+#include "tunnel/route.h"
+#include "tunnel/send.h"
+#include "tunnel/take_in.h"
+
+namespace lemonstair::tunnel {
+
+class Stages final : public net::Waiter {
+  public:
+    Stages(net::Loop& loop, const config::Launch& launch, discovery::Hosts& hosts, log::Log& log)
+        : floor(loop, *this, launch, hosts, log) {}
+    void ready(std::uint64_t token, short events) override {
+        const Id id = token >> 1;
+        const auto side = static_cast<Side>(token & 1);
+        const Tunnel* t = floor.find(id);
+        if (t == nullptr) return;
+        switch (t->state) {
+            case State::free: return;
+            case State::taking_in: return take_in.client_ready(id);
+            case State::deciding:
+            case State::connecting:
+            case State::sending_line:
+            case State::awaiting_answer: return send.ready(id, side, events);
+            case State::relaying:
+            case State::moving: return relay.ready(id, side, events);
+            case State::departing: return book.ready(id, side);
+        }
+    }
+    void due(std::uint64_t token) override {
+        const Id id = token >> 1;
+        const Tunnel* t = floor.find(id);
+        if (t == nullptr) return;
+        switch (t->state) {
+            case State::free: return;
+            case State::taking_in: return take_in.client_due(id);
+            case State::deciding:
+            case State::connecting:
+            case State::sending_line:
+            case State::awaiting_answer: return send.due(id);
+            case State::relaying:
+            case State::moving: return relay.due(id);
+            case State::departing: return book.due(id);
+        }
+    }
+
+    Floor floor;
+    Book book{floor};
+    Relay relay{floor, book};
+    Send send{floor, book, relay};
+    Route route{floor, send, relay, book};
+    Admit admit{floor, route, book};
+    TakeIn take_in{floor, admit, book};
+};
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/take_in.cpp
@@ -0,0 +1,106 @@
+#include "tunnel/take_in.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+#include "net/sockets.h"
+#include "tunnel/opening.h"
+
+namespace lemonstair::tunnel {
+
+namespace {
+
+constexpr Tenths rest_for = 300, longest_silence = 100000, longest_standing_wait = 400000;
+constexpr int accepts_a_pass = 64;
+constexpr std::size_t longest_line = 4096;
+
+}  // namespace
+
+void TakeIn::listen_on(const net::Address& at) {
+    listener_ = net::Socket(floor_.loop, net::listen_on(at), POLLIN, *this, 0);
+}
+
+void TakeIn::ready(std::uint64_t, short) {
+    for (int i = 0; i < accepts_a_pass; ++i) {
+        if (floor_.loop.descriptors() >= admit_.door()) return rest();
+        net::Fd fd(::accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (!fd.open()) {
+            const bool none_left = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+            if (none_left) rest();
+            return;
+        }
+        const int yes = 1;
+        ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+        const Id id = floor_.open(std::move(fd));
+        floor_.go(id, State::taking_in);
+        floor_.set_due(id, *floor_.find(id), floor_.loop.now() + longest_silence);
+    }
+}
+
+// Guards against spinning on a client that cannot be accepted: it waits in the listener's queue for a moment.
+void TakeIn::rest() {
+    if (resting_) return;
+    resting_ = true;
+    floor_.log.error() << "no descriptor for another client, " << floor_.loop.descriptors() << " in use";
+    listener_.wait_for(0);
+    floor_.loop.at(floor_.loop.now() + rest_for, *this, 0);
+}
+
+void TakeIn::due(std::uint64_t) {
+    resting_ = false;
+    listener_.wait_for(POLLIN);
+}
+
+void TakeIn::client_ready(Id id) {
+    Tunnel& t = *floor_.find(id);
+    if (!t.opening.held()) t.opening = floor_.pool.take();
+    const auto [at, room] = t.opening.room();
+    const auto got = net::read_some(t.client.fd(), {at, room});
+    if (got.error != 0 || got.ended) return book_.drop(id);
+    t.opening.added(got.bytes);
+    for (;;) {
+        const auto text = t.opening.view();
+        const auto end = text.find('\n');
+        if (end == std::string_view::npos) break;
+        auto first = text.substr(0, end);
+        if (!first.empty() && first.back() == '\r') first.remove_suffix(1);
+        if (!line(id, first)) return;
+        t.opening.take(end + 1);
+    }
+    if (t.opening.view().size() > longest_line) return book_.close_with_error(id);
+    if (t.opening.empty()) t.opening.give_back();
+}
+
+// False once the tunnel is in other hands.
+bool TakeIn::line(Id id, std::string_view text) {
+    Tunnel& t = *floor_.find(id);
+    if (text == "PING") {
+        constexpr std::string_view pong = "PONG\r\n";
+        if (net::write_some(t.client.fd(), pong).bytes != pong.size()) return book_.drop(id), false;
+        t.due = floor_.loop.now() + longest_silence;
+        return true;
+    }
+    Arrival arrival;
+    std::string_view holder;
+    const bool good = text.size() <= longest_line &&
+                      read_opening(text, floor_.launch.profiles, floor_.loop.now(), arrival, holder);
+    if (!good) {
+        floor_.log.error() << "a client's first line cannot be read";
+        return book_.close_with_error(id), false;
+    }
+    if (!holder.empty()) arrival.give_up_at = std::max(arrival.give_up_at, floor_.loop.now() + longest_standing_wait);
+    admit_.admit(id, arrival, holder);
+    return false;
+}
+
+void TakeIn::client_due(Id id) {
+    Tunnel& t = *floor_.find(id);
+    if (floor_.loop.now() >= t.due) return book_.drop(id);
+    floor_.set_due(id, t, t.due);
+}
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/take_in.h
@@ -0,0 +1,32 @@
+// Take in: accepts clients, reads the first line of each, answers whether the node is ready.
+#pragma once
+
+#include <string_view>
+
+#include "tunnel/admit.h"
+#include "tunnel/book.h"
+#include "tunnel/floor.h"
+
+namespace lemonstair::tunnel {
+
+class TakeIn final : public net::Waiter {
+  public:
+    TakeIn(Floor& floor, Admit& admit, Book& book) : floor_(floor), admit_(admit), book_(book) {}
+    void listen_on(const net::Address& at);
+    void ready(std::uint64_t token, short events) override;
+    void due(std::uint64_t token) override;
+    // The connection of a client that has not sent its first line yet.
+    void client_ready(Id id);
+    void client_due(Id id);
+
+  private:
+    void rest();
+    bool line(Id id, std::string_view text);
+    Floor& floor_;
+    Admit& admit_;
+    Book& book_;
+    net::Socket listener_;
+    bool resting_ = false;
+};
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/tunnel.h
@@ -0,0 +1,58 @@
+// A tunnel in the node's hands: its two connections, the bytes that wait between them and where it stands.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+#include "balance/balance.h"
+#include "net/buffer_pool.h"
+#include "net/loop.h"
+
+namespace lemonstair::tunnel {
+
+// Free; its first line is awaited; the module decides; a setup is out, in three steps; open; being moved, until
+// both sides stand between two lines; its last words are on their way out.
+enum class State : std::uint8_t {
+    free,
+    taking_in,
+    deciding,
+    connecting,
+    sending_line,
+    awaiting_answer,
+    relaying,
+    moving,
+    departing
+};
+
+std::string_view name_of(State s);
+
+// What of one direction matters between two reads.
+struct Direction {
+    net::Buffer waiting;      // read from one side, not yet taken by the other
+    bool mid_line = false;    // the last byte read did not end a line
+    bool ended = false;       // its source has ended its sending
+    bool end_passed = false;  // and its target was told
+};
+
+struct Tunnel {
+    net::Socket client, host;
+    net::Buffer opening;  // the client's first line, and what came behind it, until the host's UP
+    Direction up, down;   // client to host; host to client
+    Tenths give_up_at = 0, setup_from = 0, setup_until = 0;
+    Tenths due = 0;           // when the state it is in has lasted too long
+    Tenths waiting_since = 0;  // for a line from the host; 0: none is owed
+    std::uint32_t place = 0;   // of the host that it is set up at
+    std::uint32_t profile = 0;
+    std::uint32_t owed = 0;    // client lines that no line from the host has followed
+    int setups = 0;
+    std::array<char, 32> head{};  // the beginning of the host's line at hand
+    std::uint8_t head_size = 0;
+    State state = State::free;
+    Ending ending = Ending::broken;  // what the module hears when it is over
+    bool standing = false;           // open at its host before the start: goes there, without a decision
+    bool known = false;              // the module knows of it
+    bool moves_on = false;           // its host is silent: the client is moved without waiting for it
+};
+
+}  // namespace lemonstair::tunnel
