--- a/src/discovery/hosts.cpp
+++ b/src/discovery/hosts.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "balance/state.h"
-#include "config/terms.h"
 #include "net/clock.h"
 
 namespace lemonstair::discovery {
@@ -54,9 +53,11 @@
 
 void Hosts::take_member(const json::Value& m, Balancer& balancer) {
     const std::string id(m.text("id"));
-    const Life life = config::pick<Life>(
-        m.text("phase"),
-        {{"in_service", Life::in_service}, {"terminating", Life::draining}, {"terminated", Life::gone}}, "phase");
+    const auto phase = m.text("phase");
+    // A phase that this build does not know is not one of service: nothing new goes there.
+    const Life life = phase == "in_service"   ? Life::in_service
+                      : phase == "terminated" ? Life::gone
+                                              : Life::draining;
     const auto zone = std::find(zones_.begin(), zones_.end(), m.text("locality", ""));
     const auto cell = m.small("cell", 0);
     const auto size = m.number("size", 1);
@@ -71,6 +72,7 @@
         hosts_.push_back({ep, *at});
         by_id_.emplace(id, place);
         by_ep_.put(ep, place);
+        log_.info() << "host " << id << " at " << m.text("host_port") << " is ep " << ep;
     }
     if (at) hosts_[place].at = *at;
     balancer.listed(hosts_[place].ep, static_cast<std::uint32_t>(zone - zones_.begin()), cell, life, size,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -75,10 +75,13 @@
 }
 
 void Node::run() {
-    while (phase_ != Phase::left) {
-        loop_.turn([this] { orders_.carry_out([this](const Orders::Order& order) { carry_out(order); }); });
-        log_.write_out();
-    }
+    while (turn()) continue;
+}
+
+bool Node::turn() {
+    loop_.turn([this] { orders_.carry_out([this](const Orders::Order& order) { carry_out(order); }); });
+    log_.write_out();
+    return phase_ != Phase::left;
 }
 
 void Node::carry_out(const Orders::Order& order) {
@@ -146,7 +149,7 @@
     loop_.at(loop_.now() + look_over_every, *this, look_over_timer);
     stages_.relay.look_over();
     if (phase_ != Phase::leaving || loop_.now() - leaving_since_ < move_after) return;
-    if (stages_.floor.in_hand == 0) return go(Phase::left);
+    if (stages_.floor.admitted == 0) return go(Phase::left);
     // Packets that pass go on through another node: there a move would only break what goes on unbroken.
     if (!launch_.packets_pass) move_all();
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -25,6 +25,8 @@
     Node(config::Launch launch, const json::Value& known, log::Log& log);
     // Until the node has left.
     void run();
+    // One pass of the loop; false once the node has left.
+    bool turn();
 
   private:
     enum class Phase : std::uint8_t { starting, serving, leaving, left };
--- a/src/tunnel/admit.cpp
+++ b/src/tunnel/admit.cpp
@@ -23,7 +23,7 @@
         ++floor_.tally.busy;
         return book_.decline(id, 0);
     }
-    if (!holder.empty()) return route_.resume_standing(id, holder);
+    if (!holder.empty()) return route_.resume_standing(id);
     t.known = true;
     floor_.mind().arrive(id, arrival);
 }
--- a/src/tunnel/relay.cpp
+++ b/src/tunnel/relay.cpp
@@ -17,15 +17,22 @@
 // Clients send a line every few seconds, and a sound host answers at once: one that owes a line for this long
 // will not bring it. Before that the module hears how long it has been.
 constexpr Tenths silent_after = 60000, slow_after = 10000, told_every = 10000;
-// A side that has ended gets this long to take its last bytes and end the other way.
-constexpr Tenths longest_ending = 8000;
+// When a host or a client has ended, the other side gets this long to take the last bytes and end too.
+constexpr Tenths longest_ending = 8000, longest_parting = 30000;
 constexpr int reads_a_pass = 4;
+constexpr std::uint32_t longest_line = 4096;
 
 Direction& into(Tunnel& t, Side side) { return side == Side::client ? t.down : t.up; }
 Direction& out_of(Tunnel& t, Side side) { return side == Side::client ? t.up : t.down; }
 net::Socket& socket(Tunnel& t, Side side) { return side == Side::client ? t.client : t.host; }
 Side other(Side side) { return side == Side::client ? Side::host : Side::client; }
 
+void measure(Direction& way, std::string_view bytes) {
+    const auto end = bytes.rfind('\n');
+    way.line_size = static_cast<std::uint32_t>(end == std::string_view::npos ? way.line_size + bytes.size()
+                                                                             : bytes.size() - end - 1);
+}
+
 }  // namespace
 
 void Relay::begin(Id id) {
@@ -61,7 +68,7 @@
         if (got.error != 0) return broken(id, from), false;
         if (got.ended) {
             way.ended = true;
-            floor_.set_due(id, t, floor_.loop.now() + longest_ending);
+            floor_.set_due(id, t, floor_.loop.now() + (from == Side::host ? longest_ending : longest_parting));
             break;
         }
         if (got.bytes == 0) break;
@@ -70,6 +77,7 @@
             client_bytes(t, {at, got.bytes});
         else
             host_bytes(id, {at, got.bytes});
+        if (way.line_size > longest_line) return broken(id, from), false;  // a line without end
         if (!write(id, other(from))) return false;
     }
     if (way.waiting.empty()) way.waiting.give_back();
@@ -91,7 +99,7 @@
 
 void Relay::client_bytes(Tunnel& t, std::string_view bytes) {
     if (bytes.empty()) return;
-    t.up.mid_line = bytes.back() != '\n';
+    measure(t.up, bytes);
     const auto lines = static_cast<std::uint32_t>(std::count(bytes.begin(), bytes.end(), '\n'));
     if (t.owed == 0 && lines > 0) t.waiting_since = floor_.loop.now();
     t.owed += lines;
@@ -100,7 +108,7 @@
 // Only the beginning of a line is kept: none that means something here is longer.
 void Relay::host_bytes(Id id, std::string_view bytes) {
     Tunnel& t = *floor_.find(id);
-    t.down.mid_line = bytes.back() != '\n';
+    measure(t.down, bytes);
     while (!bytes.empty()) {
         const auto end = bytes.find('\n');
         const auto part = bytes.substr(0, end);
@@ -170,8 +178,8 @@
         if (t.down.end_passed) return book_.depart(id);
     }
     if (moving) {
-        const bool client_between = t.down.waiting.empty() && !t.down.mid_line;
-        const bool host_between = t.up.waiting.empty() && !t.up.mid_line;
+        const bool client_between = t.down.waiting.empty() && t.down.line_size == 0;
+        const bool host_between = t.up.waiting.empty() && t.up.line_size == 0;
         if (client_between && (host_between || t.moves_on)) {
             book_.over(id, t.ending);
             if (net::write_some(t.client.fd(), move_line).bytes != move_line.size()) return book_.drop(id);
@@ -180,8 +188,8 @@
         }
     }
     // A client that is moved is read no further than to the end of its line.
-    const bool read_client = !t.up.ended && t.up.waiting.empty() && (!moving || t.up.mid_line);
-    const bool read_host = !t.down.ended && t.down.waiting.empty() && (!moving || t.down.mid_line);
+    const bool read_client = !t.up.ended && t.up.waiting.empty() && (!moving || t.up.line_size > 0);
+    const bool read_host = !t.down.ended && t.down.waiting.empty() && (!moving || t.down.line_size > 0);
     t.client.wait_for(static_cast<short>((read_client ? POLLIN : 0) | (t.down.waiting.empty() ? 0 : POLLOUT)));
     t.host.wait_for(static_cast<short>((read_host ? POLLIN : 0) | (t.up.waiting.empty() ? 0 : POLLOUT)));
 }
@@ -231,6 +239,7 @@
         if (!floor_.tunnels.used(at)) continue;
         const Tunnel& t = floor_.tunnels[at];
         if (t.state != State::relaying || t.owed == 0 || t.up.ended || t.down.ended) continue;
+        if (!t.down.waiting.empty()) continue;  // its client takes nothing: the host is not to blame
         const Tenths age = floor_.loop.now() - t.waiting_since;
         if (age >= silent_after) silent_.push_back(floor_.id_of(at));
         if (age <= worst_[t.place]) continue;
--- a/src/tunnel/route.cpp
+++ b/src/tunnel/route.cpp
@@ -24,13 +24,4 @@
     if (floor_.find(id) != nullptr) relay_.move(id);
 }
 
-void Route::resume_standing(Id id, std::string_view holder) {
-    const std::uint32_t place = floor_.hosts.place_of(holder);
-    if (place == discovery::Hosts::none) return book_.close_with_error(id);
-    Tunnel& t = *floor_.find(id);
-    t.place = place;
-    t.standing = true;
-    send_.resume_standing(id);
-}
-
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/route.h
+++ b/src/tunnel/route.h
@@ -17,7 +17,7 @@
     void close_with_error(Id id);
     void move(Id id);
     // Open at this host before the start.
-    void resume_standing(Id id, std::string_view holder);
+    void resume_standing(Id id) { send_.resume_standing(id); }
 
   private:
     bool waits(Id id) {
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -38,6 +38,13 @@
 
 void Send::resume_standing(Id id) {
     Tunnel& t = *floor_.find(id);
+    Arrival arrival;
+    std::string_view holder;
+    read_opening(first_line(t.opening.view()), floor_.launch.profiles, floor_.loop.now(), arrival, holder);
+    t.standing = true;
+    t.place = floor_.hosts.place_of(holder);
+    // What this node remembers may be older than the tunnel: discovery will name the host.
+    if (t.place == discovery::Hosts::none) return floor_.set_due(id, t, floor_.loop.now() + standing_pause);
     t.setups = 1;
     t.setup_from = floor_.loop.now();
     t.setup_until = t.give_up_at;
@@ -114,6 +121,7 @@
     Tunnel& t = *floor_.find(id);
     const std::uint32_t ep = floor_.hosts[t.place].ep;
     ++floor_.tally.opened;
+    if (begins(first_line(t.down.waiting.view()), "BYE")) t.ending = Ending::ok;  // served to its end already
     if (t.standing) {
         Arrival arrival;
         std::string_view holder;
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr Tenths rest_for = 300, longest_silence = 100000, longest_standing_wait = 400000;
+constexpr Tenths second = 10000, rest_for = 300, longest_silence = 100000, longest_standing_wait = 400000;
 constexpr int accepts_a_pass = 64;
 constexpr std::size_t longest_line = 4096;
 
@@ -46,10 +46,24 @@
     if (resting_) return;
     resting_ = true;
     floor_.log.error() << "no descriptor for another client, " << floor_.loop.descriptors() << " in use";
+    drop_oldest_silent();
     listener_.wait_for(0);
     floor_.loop.at(floor_.loop.now() + rest_for, *this, 0);
 }
 
+// Guards against clients that connect and say nothing: they must not keep out those that do.
+void TakeIn::drop_oldest_silent() {
+    Id oldest = 0;
+    Tenths first = floor_.loop.now() + longest_silence - second;
+    for (std::uint32_t at = 0; at < floor_.tunnels.places(); ++at) {
+        if (!floor_.tunnels.used(at) || floor_.tunnels[at].state != State::taking_in) continue;
+        if (floor_.tunnels[at].due >= first) continue;
+        first = floor_.tunnels[at].due;
+        oldest = floor_.id_of(at);
+    }
+    if (floor_.find(oldest) != nullptr && floor_.find(oldest)->state == State::taking_in) book_.drop(oldest);
+}
+
 void TakeIn::due(std::uint64_t) {
     resting_ = false;
     listener_.wait_for(POLLIN);
--- a/src/tunnel/take_in.h
+++ b/src/tunnel/take_in.h
@@ -21,6 +21,7 @@
 
   private:
     void rest();
+    void drop_oldest_silent();
     bool line(Id id, std::string_view text);
     Floor& floor_;
     Admit& admit_;
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -30,7 +30,7 @@
 // What of one direction matters between two reads.
 struct Direction {
     net::Buffer waiting;      // read from one side, not yet taken by the other
-    bool mid_line = false;    // the last byte read did not end a line
+    std::uint32_t line_size = 0;  // bytes read of the line at hand; 0: it stands between two lines
     bool ended = false;       // its source has ended its sending
     bool end_passed = false;  // and its target was told
 };
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -1,11 +1,27 @@
-// The one fake host of the stories: it writes down what the Balancer asks for and lets a story play the rest.
+// The stories' helpers. fake::Node is the one fake host of the module's stories: it writes down what the
+// Balancer asks for and lets a story play the rest. fake::Town is a real node on loopback between clients, hosts
+// and a discovery that the story plays.
 #pragma once
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <array>
+#include <chrono>
+#include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "balance/balance.h"
+#include "config/launch.h"
+#include "json/json.h"
+#include "log/log.h"
+#include "net/fd.h"
+#include "net/sockets.h"
+#include "node/node.h"
 
 namespace fake {
 
@@ -131,4 +147,127 @@
     }
 }
 
+// One end of a connection that a story holds.
+struct End {
+    net::Fd fd;
+    std::string got;  // all that has come, but for what the story took
+    bool ended = false, reset = false;
+
+    void say(std::string_view text) { net::write_some(fd.get(), text); }
+    void finish() { ::shutdown(fd.get(), SHUT_WR); }
+    void cut() {
+        const linger at_once{1, 0};
+        ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        fd.close();
+    }
+    void hear() {
+        std::array<char, 8192> bytes;
+        for (;;) {
+            const auto r = net::read_some(fd.get(), bytes);
+            ended = ended || r.ended;
+            reset = reset || r.error != 0;
+            if (r.bytes == 0) return;
+            got.append(bytes.data(), r.bytes);
+        }
+    }
+    bool heard(std::string_view text) {
+        hear();
+        return got.find(text) != std::string::npos;
+    }
+    bool over() {
+        hear();
+        return ended || reset;
+    }
+};
+
+// Where a story is connected to: a host's or discovery's door.
+struct Door {
+    net::Fd fd;
+    net::Address at;
+    Door() {
+        at.at.sin_family = AF_INET;
+        at.at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        fd = net::listen_on(at);
+        socklen_t size = sizeof at.at;
+        ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&at.at), &size);
+    }
+    std::string name() const { return "127.0.0.1:" + std::to_string(ntohs(at.at.sin_port)); }
+    End accept() const { return {net::Fd(::accept4(fd.get(), nullptr, nullptr, SOCK_NONBLOCK)), {}}; }
+};
+
+struct Town {
+    struct Terms {
+        std::string mode = "pass";
+        int sockets = 256;
+        bool probing = false;
+    };
+    Door a, b, discovery;
+    std::string name = Door().name();
+    log::Log log{log::Level::error, -1};
+    json::Document file;
+    std::string text;
+    std::unique_ptr<node::Node> node;
+    bool runs = true;
+
+    Town() : Town(Terms{}) {}
+    explicit Town(const Terms& t) {
+        text = R"({"name":"n0","listen":")" + name + R"(","discovery":")" + discovery.name() +
+               R"(","seed":"8c1f","limits":{"sockets":)" + std::to_string(t.sockets) +
+               R"(},"known":{"revision":4,"complete":true,"members":[)" + member("a", a) + "," + member("b", b) +
+               R"(]},"settings":{"balancers":1,"me":0,"zone":0,"zones":["z"],"granularity":0.005,)" +
+               R"("membership_mode":"push","domain":{"mode":")" + t.mode +
+               R"("},"limits":{"max_setups":3,"connect_timeout":0.25,"probing":)" + (t.probing ? "true" : "false") +
+               R"(},"report":{"via":"probe","columns":["x0"]},"rules":{"stop_sending_within":3},)" +
+               R"("profiles":[{"name":"chat","setup_goal":0.3,"client_timeout":3,"credit":1,)" +
+               R"("effect":"read_like","stream":true}]}})";
+        file.parse(text);
+        node = std::make_unique<node::Node>(config::read_launch(file.root()), file.root().inner("known"), log);
+    }
+    static std::string member(std::string_view id, const Door& at, std::string_view phase = "in_service") {
+        return std::string(R"({"id":")").append(id).append(R"(","host_port":")").append(at.name()) +
+               std::string(R"(","locality":"z","phase":")").append(phase).append(R"(","size":1,"up_since_ms":0})");
+    }
+    // Lets the node run until something holds; false where it does not within a time.
+    bool until(const std::function<bool()>& holds, int ms = 3000) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
+        while (!holds()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            if (runs) runs = node->turn();
+        }
+        return true;
+    }
+    void pass(int ms) {
+        until([] { return false; }, ms);
+    }
+    End client(std::string_view line = "") const {
+        End e{net::connect_to(*net::parse_address(name)), {}};
+        pollfd up{e.fd.get(), POLLOUT, 0};
+        ::poll(&up, 1, 1000);
+        if (!line.empty()) e.say(line);
+        return e;
+    }
+    // The setup that reaches one of the two hosts, at either.
+    End setup(const Door** at = nullptr) {
+        End e;
+        until([&] {
+            for (const Door* d : {&a, &b}) {
+                if (e.fd.open()) break;
+                e = d->accept();
+                if (at != nullptr) *at = d;
+            }
+            return e.fd.open() && e.heard("\n");
+        });
+        return e;
+    }
+    // A client and its host's end, with the tunnel open between them.
+    std::pair<End, End> opened(std::string_view line = "OPEN 1 k c=chat,d=2000\r\n") {
+        End c = client(line), h = setup();
+        h.say("UP r\r\n");
+        until([&] { return c.heard("UP r\r\n"); });
+        c.got.clear();
+        h.got.clear();
+        return {std::move(c), std::move(h)};
+    }
+};
+
 }  // namespace fake
--- /dev/null
+++ b/tests/node.cpp
@@ -0,0 +1,388 @@
+// Stories of the node on sockets: one for each way in which a connection, a host or discovery fails it.
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/resource.h>
+
+#include <csignal>
+
+#include "fake.h"
+#include "node/peer_link.h"
+
+using namespace fake;
+
+TEST_CASE("a client's line reaches a host with the wait that is left, and lines pass both ways unchanged") {
+    Town town;
+    End c = town.client("OPEN 9b1f k c=chat,d=2000,x=7\r\nfirst\r\n");
+    End h = town.setup();
+    const auto d = h.got.find(",d=");
+    REQUIRE(h.got.substr(0, d) == "OPEN 9b1f k c=chat");
+    const int wait = std::stoi(h.got.substr(d + 3));
+    CHECK((wait > 0 && wait < 2000));
+    CHECK(h.got.substr(h.got.find(',', d + 1)) == ",x=7\r\n");
+    h.say("UP receipt\r\nLOAD 120\r\n");
+    CHECK(town.until([&] { return c.heard("UP receipt\r\nLOAD 120\r\n"); }));
+    CHECK(town.until([&] { return h.heard("first\r\n"); }));
+    c.say("a\r\nb");
+    CHECK(town.until([&] { return h.heard("first\r\na\r\nb"); }));
+}
+
+TEST_CASE("a first line may come cut at any byte") {
+    const std::string line = "PING\r\nOPEN 1 k c=chat,d=900\r\n";
+    Town town;
+    for (std::size_t at = 1; at < line.size(); ++at) {
+        End c = town.client(line.substr(0, at));
+        town.pass(1);
+        c.say(line.substr(at));
+        End h = town.setup();
+        h.say("UP r\r\n");
+        REQUIRE(town.until([&] { return c.heard("UP r\r\n"); }));
+        CHECK(c.got == "PONG\r\nUP r\r\n");
+    }
+}
+
+TEST_CASE("a host that refuses connections has run nothing: the other gets the tunnel") {
+    Town town;
+    town.a.fd.close();
+    for (int i = 0; i < 6; ++i) {
+        End c = town.client("OPEN 1 k c=chat,d=2000\r\n");
+        End h = town.setup();
+        h.say("UP r\r\n");
+        CHECK(town.until([&] { return c.heard("UP r\r\n"); }));
+    }
+}
+
+TEST_CASE("a silent setup is given up and its connection closed before the next goes out") {
+    Town town;
+    End c = town.client("OPEN 1 k c=chat,d=2000\r\n");
+    const Door *first = nullptr, *second = nullptr;
+    End h1 = town.setup(&first), h2 = town.setup(&second);
+    CHECK(first != second);
+    CHECK(town.until([&] { return h1.over(); }, 100));
+    h1.say("UP late\r\n");
+    h2.say("UP r\r\n");
+    CHECK(town.until([&] { return c.heard("UP r\r\n"); }));
+    CHECK(c.got == "UP r\r\n");
+}
+
+TEST_CASE("a tunnel that no host takes is declined at once, cleanly, though the client has sent more") {
+    Town town;
+    End c = town.client("OPEN 1 k c=chat,d=2000\r\nmore\r\n");
+    for (int i = 0; i < 3; ++i) town.setup().say("BUSY\r\n");
+    CHECK(town.until([&] { return c.over(); }));
+    CHECK(c.got == "BUSY\r\n");
+    CHECK(!c.reset);
+}
+
+TEST_CASE("a client that leaves while it waits ends its setup") {
+    Town town;
+    End c = town.client("OPEN 1 k c=chat,d=2000\r\n");
+    End h = town.setup();
+    c.fd.close();
+    CHECK(town.until([&] { return h.over(); }));
+    CHECK(town.opened().first.fd.open());
+}
+
+TEST_CASE("an end is passed on as an end behind the last byte, a reset as a reset") {
+    Town town;
+    auto [c, h] = town.opened();
+    h.say("last words\r\nBYE\r\n");
+    h.finish();
+    CHECK(town.until([&] { return c.over(); }));
+    CHECK(c.got == "last words\r\nBYE\r\n");
+    CHECK(!c.reset);
+    auto [c2, h2] = town.opened();
+    h2.cut();
+    CHECK(town.until([&] { return c2.over(); }));
+    CHECK(c2.reset);
+    auto [c3, h3] = town.opened();
+    c3.say("bye\r\n");
+    c3.finish();
+    CHECK(town.until([&] { return h3.over(); }));
+    CHECK(h3.got == "bye\r\n");
+    CHECK(!h3.reset);
+}
+
+TEST_CASE("a side that takes nothing holds the other back, and nothing is lost") {
+    Town town;
+    auto [c, h] = town.opened();
+    const std::string line(1022, 'x');
+    std::size_t sent = 0;
+    for (int i = 0; i < 20000; ++i) {
+        const auto r = net::write_some(h.fd.get(), line + "\r\n");
+        sent += r.bytes;
+        if (r.bytes < 1024) town.pass(1);
+        if (r.bytes < 1024 && sent > 8000000) break;
+    }
+    CHECK(town.until([&] {
+        c.hear();
+        return c.got.size() == sent;
+    }));
+}
+
+TEST_CASE("told to leave, the node takes clients on, moves all between two lines and leaves when empty") {
+    Town town({.mode = "proxy", .sockets = 256, .probing = false});
+    auto [c, h] = town.opened();
+    h.say("half a ");
+    CHECK(town.until([&] { return c.heard("half a "); }));
+    std::raise(SIGTERM);
+    town.pass(300);
+    auto [c2, h2] = town.opened();
+    CHECK(town.until([&] { return c2.over(); }));
+    CHECK(c2.got == "MOVE\r\n");
+    CHECK(!c.over());
+    h.say("line\r\n");
+    CHECK(town.until([&] { return c.over(); }));
+    CHECK(c.got == "half a line\r\nMOVE\r\n");
+    CHECK(!c.reset);
+    c.fd.close(), c2.fd.close(), h.fd.close(), h2.fd.close();
+    CHECK(town.until([&] { return !town.runs; }));
+}
+
+TEST_CASE("where packets pass, a node told to leave keeps what it carries") {
+    Town town;
+    auto [c, h] = town.opened();
+    std::raise(SIGTERM);
+    town.pass(1200);
+    CHECK(!c.over());
+    h.say("BYE\r\n");
+    h.finish();
+    CHECK(town.until([&] { return c.over(); }));
+    CHECK(c.got == "BYE\r\n");
+    c.fd.close();
+    CHECK(town.until([&] { return !town.runs; }));
+}
+
+TEST_CASE("a host that answers no line any more is noticed and its client moved within 7 s") {
+    Town town;
+    auto [c, h] = town.opened();
+    c.say("hello\r\n");
+    CHECK(!town.until([&] { return c.over(); }, 5000));
+    CHECK(town.until([&] { return c.over(); }, 1900));
+    CHECK(c.got == "MOVE\r\n");
+    CHECK(!c.reset);
+}
+
+TEST_CASE("past its descriptors the node says BUSY, and takes clients again when some have left") {
+    Town town({.mode = "pass", .sockets = 40, .probing = false});
+    std::vector<std::pair<End, End>> open;
+    End refused;
+    for (int i = 0; i < 40 && !refused.heard("BUSY\r\n"); ++i) {
+        refused = town.client("OPEN 1 k c=chat,d=2000\r\n");
+        End h = town.setup();
+        h.say("UP r\r\n");
+        town.until([&] { return refused.heard("\r\n"); });
+        if (refused.got[0] == 'U') open.emplace_back(std::move(refused), std::move(h));
+    }
+    CHECK((open.size() >= 5 && open.size() < 20));
+    CHECK(refused.got == "BUSY\r\n");
+    open.clear();
+    town.pass(50);
+    CHECK(town.opened().first.fd.open());
+}
+
+TEST_CASE("clients that connect and say nothing do not keep out those that do") {
+    Town town({.mode = "pass", .sockets = 40, .probing = false});
+    std::vector<End> silent;
+    for (int i = 0; i < 60; ++i) silent.push_back(town.client());
+    town.pass(1200);
+    CHECK(town.until([&] { return silent[0].over(); }));
+    End c = town.client("OPEN 1 k c=chat,d=3000\r\n");
+    silent.resize(20);
+    End h = town.setup();
+    h.say("UP r\r\n");
+    CHECK(town.until([&] { return c.heard("UP r\r\n"); }));
+}
+
+TEST_CASE("with no descriptor left the node neither spins nor ends, and goes on when there are some") {
+    Town town;
+    End c = town.client();
+    rlimit was{};
+    ::getrlimit(RLIMIT_NOFILE, &was);
+    const int next = ::dup(0);
+    ::close(next);
+    const rlimit none{static_cast<rlim_t>(next), was.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &none);
+    int turns = 0;
+    town.until([&] { return ++turns, false; }, 300);
+    ::setrlimit(RLIMIT_NOFILE, &was);
+    CHECK(turns < 60);
+    c.say("OPEN 1 k c=chat,d=2000\r\n");
+    End h = town.setup();
+    h.say("UP r\r\n");
+    CHECK(town.until([&] { return c.heard("UP r\r\n"); }));
+}
+
+TEST_CASE("bad input ends its own connection and nothing else") {
+    Town town;
+    auto [c, h] = town.opened();
+    const std::string endless(9000, 'x');
+    for (const std::string& bad : {endless, std::string("OPEN\r\n"), std::string("OPEN 1 k c=no,d=5\r\n"),
+                                   std::string("OPEN 1 k c=chat,d=-1\r\n"), std::string("OPEN 1 k c=chat,d=1e400\r\n"),
+                                   std::string("OPEN 1 k\x01 c=chat,d=5\r\n"), std::string("\0\xff\r\n", 4)}) {
+        End e = town.client(bad);
+        CHECK(town.until([&] { return e.over(); }));
+        CHECK(e.got.substr(0, 3) != "UP ");
+    }
+    End cut = town.client("OPEN 1 k c=ch");
+    cut.finish();
+    CHECK(town.until([&] { return cut.over(); }));
+    End c2 = town.client("OPEN 1 k c=chat,d=2000\r\n");
+    town.setup().say(endless);  // a host's answer without end is no answer: another host is asked
+    End h2 = town.setup();
+    h2.say("UP r\r\n");
+    CHECK(town.until([&] { return c2.heard("UP r\r\n"); }));
+    h2.say(endless);
+    CHECK(town.until([&] { return c2.over(); }));
+    h.say("still here\r\n");
+    CHECK(town.until([&] { return c.heard("still here\r\n"); }));
+}
+
+TEST_CASE("a tunnel that stood before the start goes to its host, again until it is up") {
+    Town town;
+    End c = town.client("OPEN 1 k c=chat,d=2000,at=b\r\n");
+    for (int i = 0; i < 2; ++i) {
+        End h;
+        CHECK(town.until([&] {
+            if (!h.fd.open()) h = town.b.accept();
+            return h.fd.open() && h.heard("at=b\r\n");
+        }));
+        h.say(i == 0 ? "BUSY\r\n" : "UP r\r\n");
+        if (i == 1) CHECK(town.until([&] { return c.heard("UP r\r\n"); }));
+    }
+    CHECK(!town.a.accept().fd.open());
+}
+
+TEST_CASE("the watch is kept, dead when silent, back after a pause; broken and old lists do no harm") {
+    Town town;
+    const std::string good = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto chunk = [](const std::string& line) {
+        char size[16];
+        std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
+        return size + line + "\n\r\n";
+    };
+    const auto call = [&](std::string_view asked) {
+        End e;
+        CHECK(town.until([&] {
+            if (!e.fd.open()) e = town.discovery.accept();
+            return e.fd.open() && e.heard(asked);
+        }));
+        return e;
+    };
+    for (const char* bad : {"HTTP/1.1 503 Busy\r\n\r\n", "nonsense\r\n", "HTTP/1.1 200 OK\r\n\r\n{\"revision\"\n"})
+        call("GET /api/targets?stream=1&index=4 ").say(bad);
+    End watch = call("index=4 ");
+    // An old list takes nothing away; a host that drains gets nothing new; an entry that cannot be read is
+    // passed over with no other taken for gone.
+    watch.say(good + chunk(R"({"revision":3,"complete":true,"members":[]})") +
+              chunk(R"({"revision":6,"complete":true,"members":[{"id":7},)" +
+                    Town::member("a", town.a, "terminating") + "]}"));
+    town.pass(50);
+    for (int i = 0; i < 8; ++i) {
+        End c = town.client("OPEN 1 k c=chat,d=2000\r\n");
+        const Door* at = nullptr;
+        End h = town.setup(&at);
+        CHECK(at == &town.b);
+        h.say("UP r\r\n");
+        town.until([&] { return c.heard("UP r\r\n"); });
+    }
+    CHECK(town.until([&] { return watch.over(); }, 5500));  // no empty line for 5 s
+    call("index=6 ");
+}
+
+TEST_CASE("a probe goes over a kept connection; one that died unseen is made anew before the host is blamed") {
+    Town town({.mode = "pass", .sockets = 256, .probing = true});
+    const auto asked = [&](End& e) {
+        return town.until([&] {
+            if (!e.fd.open()) e = town.a.accept();
+            return e.fd.open() && e.heard("STATS\r\n");
+        });
+    };
+    End e;
+    CHECK(asked(e));
+    e.say("PONG x0=0.5,nonsense=,queue=x\r\n");
+    e.got.clear();
+    CHECK(asked(e));
+    e.cut();
+    e = {};
+    CHECK(asked(e));
+}
+
+TEST_CASE("datagrams count from the listed addresses only, and none longer than the limit") {
+    const net::Clock clock;
+    net::Loop loop(clock);
+    Door a, b;
+    config::Launch launch;
+    launch.terms.limits.peers = true;
+    launch.terms.me = 0;
+    launch.peer_listen = a.at;
+    launch.peers = {a.at, b.at};
+    std::vector<std::size_t> sizes;
+    node::PeerLink link(loop, launch, [&](std::uint32_t node, std::span<const std::uint8_t> bytes) {
+        CHECK(node == 1);
+        sizes.push_back(bytes.size());
+    });
+    const auto send = [&](const net::Fd& from, std::size_t n) {
+        const std::string text(n, 'x');
+        ::sendto(from.get(), text.data(), n, 0, reinterpret_cast<const sockaddr*>(&a.at.at), sizeof a.at.at);
+    };
+    const net::Fd peer = net::datagrams_on(b.at), stranger = net::datagrams_on(Door().at);
+    send(stranger, 5), send(peer, 300), send(peer, 256), send(peer, 0);
+    for (int i = 0; i < 4; ++i) {
+        loop.at(loop.now() + 100, link, 0);
+        loop.turn([] {});
+    }
+    CHECK(sizes == std::vector<std::size_t>{256, 0});
+}
+
+TEST_CASE("an event of this pass never reaches who took the descriptor's slot in it") {
+    const net::Clock clock;
+    net::Loop loop(clock);
+    struct Both final : net::Waiter {
+        std::vector<std::uint64_t> called;
+        std::vector<net::Socket> sockets;
+        net::Loop* loop = nullptr;
+        net::Fd quiet;
+        void ready(std::uint64_t token, short) override {
+            called.push_back(token);
+            sockets[1 - token].close();  // and its slot goes to one that has nothing to read
+            sockets[1 - token] = net::Socket(*loop, std::move(quiet), POLLIN, *this, 9);
+        }
+        void due(std::uint64_t) override {}
+    } both;
+    both.loop = &loop;
+    std::array<int, 2> x{}, y{}, z{};
+    REQUIRE(::pipe(x.data()) == 0);
+    REQUIRE(::pipe(y.data()) == 0);
+    REQUIRE(::pipe(z.data()) == 0);
+    const net::Fd wx(x[1]), wy(y[1]), wz(z[1]);
+    both.quiet = net::Fd(z[0]);
+    both.sockets.emplace_back(loop, net::Fd(x[0]), POLLIN, both, 0);
+    both.sockets.emplace_back(loop, net::Fd(y[0]), POLLIN, both, 1);
+    CHECK(::write(wx.get(), "x", 1) == 1);
+    CHECK(::write(wy.get(), "x", 1) == 1);
+    loop.turn([] {});
+    CHECK(both.called == std::vector<std::uint64_t>{0});
+}
+
+TEST_CASE("a log that nobody reads holds nothing up; lines are dropped and counted") {
+    std::array<int, 2> p{};
+    REQUIRE(::pipe(p.data()) == 0);
+    const net::Fd in(p[0]), out(p[1]);
+    log::Log log(log::Level::info, out.get());
+    for (int i = 0; i < 5000; ++i) log.info() << "line " << i << " of many that nobody reads";
+    log.debug() << "not at this level";
+    std::string all;
+    std::array<char, 65536> bytes;
+    ::fcntl(in.get(), F_SETFL, O_NONBLOCK);
+    for (int quiet = 0; quiet < 2;) {
+        const ssize_t n = ::read(in.get(), bytes.data(), bytes.size());
+        if (n > 0) all.append(bytes.data(), static_cast<std::size_t>(n));
+        quiet = n > 0 ? 0 : quiet + 1;
+        log.write_out();
+    }
+    log.info() << "last";
+    const ssize_t n = ::read(in.get(), bytes.data(), bytes.size());
+    CHECK(std::string_view(bytes.data(), static_cast<std::size_t>(n)).substr(0, 19) == "log lines dropped: ");
+    CHECK(all.find("line 1 of many") != std::string::npos);
+    CHECK(all.find("not at this level") == std::string::npos);
+}
