Work that reports show piling up weighs where no message delay is told; silent hosts heard of

The relay tells the module of a host that owes lines and has sent none on any tunnel; after a second it is set aside.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -13,13 +13,14 @@
 namespace {
 
 // The mechanism's figures (docs/design.md gives the source of each).
-constexpr std::size_t chain_length = 2, near_tail = 5;
+constexpr std::size_t near_tail = 5;
 constexpr Tenths tail_wait = second / 5;
 constexpr Tenths refresh_every = 10 * second, forget_after = 4 * refresh_every;  // after three missed
 constexpr Tenths sweep_every = second / 10, probe_every = second, report_every = second;
 constexpr Tenths report_lag = 2 * second;  // what is placed or moved shows in reports by then
 constexpr Tenths silent_peer = 5 * second / 2, trial_pause = 2 * second;
-constexpr double talk_part = 0.02;
+constexpr Tenths unheard_limit = second;
+constexpr double talk_part = 0.02, most_piled = 2;
 
 // The sequential test on an ep's outcomes: "half of them fail" against "as many fail as elsewhere".
 constexpr double bad_part = 0.5, usual_part = 0.015, shared_part = 0.1, doubt_limit = 6.0;
@@ -50,8 +51,6 @@
         say_hello();  // a node that has just started holds no records: the others send what it should hold
     }
 
-    bool talks() const { return terms.limits.peers && peers.size() > 1; }
-    double nodes() const { return static_cast<double>(peers.size()); }
     void say_hello() {
         if (talks()) outbox.tell_all([](peer::Message& m) { m.hello(); });
     }
@@ -135,19 +134,6 @@
     }
 
     // ---- the ring, the records
-    bool lives(std::uint32_t node) const { return node == terms.me || peers[node].lives; }
-    std::size_t chain(std::uint64_t key, Ring::Chain& out) const {  // the tail first
-        return ring.chain(
-            key, chain_length, [this](std::uint32_t n) { return lives(n); }, out);
-    }
-    bool on_chain(std::uint64_t key, std::uint32_t node) const {
-        Ring::Chain nodes{};
-        const std::size_t n = chain(key, nodes);
-        return std::find(nodes.begin(), nodes.begin() + n, node) != nodes.begin() + n;
-    }
-    std::uint32_t first_living(std::uint64_t place) const {
-        return ring.first(place, [this](std::uint32_t n) { return lives(n); });
-    }
     template <class Add>
     void post(std::uint32_t node, Add&& add) {
         if (talks() && node != terms.me) outbox.post(node, add);
@@ -288,9 +274,6 @@
         reckon_talk();
         if (sums_known ? now - last_report >= report_pause : report_pause < 4 * report_every) tell_sums();
     }
-    double hearer_price(double bytes) const {  // of an item that all other nodes hear
-        return terms.prices.peer * bytes / peer::max_bytes * (nodes() - 1);
-    }
     void reckon_talk() {
         const auto servers = static_cast<double>(eps.size());
         report_pause = paced(report_every, hearer_price(peer::seen_bytes) * nodes() * servers, 8);
@@ -772,7 +755,6 @@
         if (ep == none || !may_still_send(eps[ep]) || (eps[ep].aside && eps[ep].silent)) return place(at);
         send(at, ep);
     }
-    std::uint64_t label_of(std::uint32_t at) const { return (std::uint64_t{tuns.serial(at)} << 32 | at) + 1; }
     void woken(std::uint64_t label) override {
         const peer::Delivery delivery(outbox);
         if (label == 0) return sweep();
@@ -851,15 +833,32 @@
     void messages_slow(std::uint64_t, std::uint32_t ep_id, Tenths takes) override {
         if (ep_of(ep_id) == nullptr) return;
         Ep& e = *ep_of(ep_id);
+        slowed(e, takes);
+        // Work piled up makes a message wait, but not for longer than any client: such an ep has stopped.
+        if (takes > 2 * longest_timeout) stopped(e, "a message takes, in s,", takes);
+    }
+    void slowed(Ep& e, Tenths takes) {
         if (now - e.slow_at > 3 * second / 2 || e.slow_by <= quickest_message) e.slow_since = now;
         e.slow_at = now;
         e.slow_by = takes;
-        // Work piled up makes a message wait, but not for longer than any client: such an ep has stopped.
-        if (takes > 2 * longest_timeout && !e.aside) {
-            e.silent = true;
-            e.doubt = doubt_limit;
-            set_aside(e, "a message takes, in s,", static_cast<double>(takes) / second);
-        }
+    }
+    void stopped(Ep& e, const char* why, Tenths figure) {
+        if (e.aside) return;
+        e.silent = true;
+        e.doubt = doubt_limit;
+        set_aside(e, why, static_cast<double>(figure) / second);
+    }
+    // A sound ep answers a line at once, on each connection. Guards against one that hangs or is cut off, of
+    // which setups and probes tell only seconds later.
+    void unheard(std::uint32_t ep_id, Tenths span) override {
+        Ep* const e = ep_of(ep_id);
+        if (e != nullptr && span >= unheard_limit) stopped(*e, "no line, in s, for", span);
+    }
+    // Guards against work piled up where nothing tells of slow messages: what is asked beyond all it can do.
+    void pile_up(Ep& e, double x) {
+        const Tenths since = std::min(now - e.x_at, 2 * second);
+        e.piled = std::clamp(e.piled + (x - 1) * static_cast<double>(since) / second, 0.0, most_piled);
+        if (e.piled > 0) slowed(e, static_cast<Tenths>(e.piled * second));
     }
     void probed(std::uint32_t ep_id, Ending ending, Tenths, const Report& r) override {
         if (ep_of(ep_id) == nullptr) return;
@@ -875,6 +874,7 @@
         if (std::isnan(x) && !std::isnan(r.queue)) x = 0.5 + r.queue / (10 * e.size);
         if (!std::isnan(r.piled_s)) x = (std::isnan(x) ? 0 : x) + r.piled_s;
         if (std::isnan(x)) return;
+        if (!terms.hears_delay) pile_up(e, x);
         e.x = x;
         e.x_at = now;
         if (x == e.last_report || !sums_known) return;  // not yet refreshed
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -71,6 +71,7 @@
     bool must_ask = false;  // discovery speaks only when asked
     bool groups = false;
     bool sized = false;  // the listed size compares eps
+    bool hears_delay = false;  // the front tells how long messages take at each ep, answered or not
 };
 
 // One load report; what did not come is not a number.
@@ -132,6 +133,8 @@
     virtual void client_left(std::uint64_t tun) = 0;
     virtual void load_changed(std::uint64_t tun, double load) = 0;  // a share of a standard core
     virtual void messages_slow(std::uint64_t tun, std::uint32_t ep, Tenths takes) = 0;
+    // No line has come from an ep for this long, though some are owed.
+    virtual void unheard(std::uint32_t ep, Tenths span) = 0;
     // The rest.
     virtual void probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report) = 0;
     virtual void told(std::uint32_t node, std::span<const std::uint8_t> bytes) = 0;
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -21,6 +21,7 @@
 constexpr Tenths second = 10000;
 constexpr Tenths never = std::numeric_limits<Tenths>::max() / 4;
 constexpr std::uint32_t none = IdIndex::none;
+constexpr std::size_t chain_length = 2;
 
 enum class State : std::uint8_t { idle, looking_up, holding, setting_up, standing, leaving, answered };
 
@@ -53,7 +54,7 @@
     double elsewhere = 0;         // their sum
     void begin_life(Tenths at) {  // what the old one showed counts no more
         listed_start = started = at;
-        doubt = room = 0;
+        doubt = room = piled = 0;
         aside = false;
         slow_by = 0;
         x = Report::none;
@@ -62,6 +63,7 @@
         elsewhere += load - others[node];
         others[node] = load;
     }
+    double piled = 0;  // seconds of work, as its reports add up
     double x = Report::none, x_told = 0;  // load over what it can do, as last reported; as last told to all
     Tenths x_at = -never, x_told_at = -never;
     Tenths judged_at = 0;
@@ -143,6 +145,25 @@
         }
         return out;
     }
+    bool talks() const { return terms.limits.peers && peers.size() > 1; }
+    double nodes() const { return static_cast<double>(peers.size()); }
+    double hearer_price(double bytes) const {  // of an item that all other nodes hear
+        return terms.prices.peer * bytes / peer::max_bytes * (nodes() - 1);
+    }
+    bool lives(std::uint32_t node) const { return node == terms.me || peers[node].lives; }
+    std::size_t chain(std::uint64_t key, Ring::Chain& out) const {  // the tail first
+        return ring.chain(
+            key, chain_length, [this](std::uint32_t n) { return lives(n); }, out);
+    }
+    bool on_chain(std::uint64_t key, std::uint32_t node) const {
+        Ring::Chain nodes{};
+        const std::size_t n = chain(key, nodes);
+        return std::find(nodes.begin(), nodes.begin() + n, node) != nodes.begin() + n;
+    }
+    std::uint32_t first_living(std::uint64_t place) const {
+        return ring.first(place, [this](std::uint32_t n) { return lives(n); });
+    }
+    std::uint64_t label_of(std::uint32_t at) const { return (std::uint64_t{tuns.serial(at)} << 32 | at) + 1; }
     Tenths draw_span(Tenths below) { return static_cast<Tenths>(draw() * static_cast<double>(below)); }
 
     Terms terms;
--- a/src/config/launch.cpp
+++ b/src/config/launch.cpp
@@ -89,7 +89,8 @@
     if (l.sockets < 32) limits.fail("sockets", "is under 32: too few to serve");
     const json::Value domain = settings.inner("domain");
     l.packets_pass = domain.text("mode", "proxy") == "pass";
-    l.tells_delay = domain.flag("tells_delay");
+    // A line is answered at once whatever waits at its host: how long messages take there shows in no answer.
+    l.terms.hears_delay = false;
     l.reports = settings.inner("report").text("via", "none") != "none";
     return l;
 }
--- a/src/config/launch.h
+++ b/src/config/launch.h
@@ -23,7 +23,6 @@
     Tenths connect_timeout = 0;
     std::size_t sockets = 0;     // descriptors that the node may hold
     bool packets_pass = false;   // connections go on through another node when this one dies
-    bool tells_delay = false;    // the module wants to hear how long messages take
     bool reports = false;        // hosts tell their load when probed
 };
 
--- a/src/config/terms.cpp
+++ b/src/config/terms.cpp
@@ -53,6 +53,7 @@
     t.seed = static_cast<std::uint32_t>(seed ^ (seed >> 32));
     t.must_ask = f.text("membership_mode", "push") == "ask";
     t.groups = domain.flag("groups");
+    t.hears_delay = domain.flag("tells_delay");
     t.sized = f.text("weight_kind", "none") != "none";
     return t;
 }
--- a/src/tunnel/relay.cpp
+++ b/src/tunnel/relay.cpp
@@ -15,8 +15,9 @@
 
 constexpr std::string_view move_line = "MOVE\r\n";
 // Clients send a line every few seconds, and a sound host answers at once: one that owes a line for this long
-// will not bring it. Before that the module hears how long it has been.
-constexpr Tenths silent_after = 60000, slow_after = 10000, told_every = 10000;
+// will not bring it. Long before that the module hears of a host from which no tunnel has had a line.
+constexpr Tenths silent_after = 60000, unheard_after = 5000;
+constexpr Tenths slow_from = 10000, told_every = 10000;
 // When a host or a client has ended, the other side gets this long to take the last bytes and end too.
 constexpr Tenths longest_ending = 8000, longest_parting = 30000;
 constexpr int reads_a_pass = 4;
@@ -108,6 +109,7 @@
 // Only the beginning of a line is kept: none that means something here is longer.
 void Relay::host_bytes(Id id, std::string_view bytes) {
     Tunnel& t = *floor_.find(id);
+    spoken(t.place).heard_at = floor_.loop.now();
     measure(t.down, bytes);
     while (!bytes.empty()) {
         const auto end = bytes.find('\n');
@@ -142,21 +144,22 @@
 void Relay::answered(Id id, Tunnel& t) {
     if (t.owed == 0) return;
     const Tenths took = floor_.loop.now() - t.waiting_since;
-    if (floor_.launch.tells_delay) tell_slow(id, t.place, took);
+    tell_slow(id, t.place, took);
     --t.owed;
     t.waiting_since = floor_.loop.now();
 }
 
 // Once a second for a host while messages take long there, and once more when they no longer do.
 void Relay::tell_slow(Id id, std::uint32_t place, Tenths takes) {
-    if (told_.size() <= place) told_.resize(floor_.hosts.size());
-    Tenths shortest = slow_after;
+    Tenths shortest = slow_from;
     for (const auto& p : floor_.launch.terms.profiles)
         if (p.message_goal > 0) shortest = std::min(shortest, p.message_goal / 3);
-    Told& told = told_[place];
+    Spoken& told = spoken(place);
     const bool slow = takes > shortest;
-    if (slow ? floor_.loop.now() - told.at < told_every : !told.slow) return;
-    told = {floor_.loop.now(), slow};
+    if (slow ? floor_.loop.now() - told.told_at < told_every : !told.slow) return;
+    told.told_at = floor_.loop.now();
+    told.slow = slow;
+    floor_.log.debug() << "a message takes " << takes / 10 << " ms at ep " << floor_.hosts[place].ep;
     floor_.mind().messages_slow(id, floor_.hosts[place].ep, takes);
 }
 
@@ -229,11 +232,11 @@
     settle(id);
 }
 
-// Guards against hosts that vanish or hang: their connections stay open and say nothing. Each host's oldest
-// unanswered line is told to the module; a tunnel that waited long enough is broken, and its client moved.
+// Guards against hosts that vanish or hang: their connections stay open and say nothing. The module hears of a
+// host that owes lines and has sent none on any tunnel; a tunnel that waited long enough is broken, and its
+// client moved.
 void Relay::look_over() {
-    worst_.assign(floor_.hosts.size(), 0);
-    slowest_.assign(floor_.hosts.size(), 0);
+    unheard_.assign(floor_.hosts.size(), 0);
     silent_.clear();
     for (std::uint32_t at = 0; at < floor_.tunnels.places(); ++at) {
         if (!floor_.tunnels.used(at)) continue;
@@ -242,12 +245,11 @@
         if (!t.down.waiting.empty()) continue;  // its client takes nothing: the host is not to blame
         const Tenths age = floor_.loop.now() - t.waiting_since;
         if (age >= silent_after) silent_.push_back(floor_.id_of(at));
-        if (age <= worst_[t.place]) continue;
-        worst_[t.place] = age;
-        slowest_[t.place] = floor_.id_of(at);
+        const Tenths quiet = std::min(age, floor_.loop.now() - spoken(t.place).heard_at);
+        unheard_[t.place] = std::max(unheard_[t.place], quiet);
     }
-    for (std::uint32_t place = 0; place < worst_.size(); ++place)
-        if (worst_[place] > slow_after) tell_slow(slowest_[place], place, worst_[place]);
+    for (std::uint32_t place = 0; place < unheard_.size(); ++place)
+        if (unheard_[place] >= unheard_after) floor_.mind().unheard(floor_.hosts[place].ep, unheard_[place]);
     for (const Id id : silent_) {
         Tunnel* t = floor_.find(id);
         if (t == nullptr || t->state != State::relaying) continue;
--- a/src/tunnel/relay.h
+++ b/src/tunnel/relay.h
@@ -32,15 +32,20 @@
     void broken(Id id, Side side);
     void tell_slow(Id id, std::uint32_t place, Tenths takes);
 
-    struct Told {
-        Tenths at = 0;
+    // What a host said last, and what the module was told of it.
+    struct Spoken {
+        Tenths heard_at = 0, told_at = 0;
         bool slow = false;
     };
+    Spoken& spoken(std::uint32_t place) {
+        if (spoken_.size() <= place) spoken_.resize(floor_.hosts.size());
+        return spoken_[place];
+    }
     Floor& floor_;
     Book& book_;
-    std::vector<Told> told_;    // by place of the host
-    std::vector<Tenths> worst_;  // by place of the host
-    std::vector<Id> silent_, slowest_;
+    std::vector<Spoken> spoken_;   // by place of the host
+    std::vector<Tenths> unheard_;  // by place of the host
+    std::vector<Id> silent_;
 };
 
 }  // namespace lemonstair::tunnel
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -355,6 +355,51 @@
     CHECK(n.moved == on_bad);
 }
 
+TEST_CASE("an ep from which no line has come for a second is left, long before setups or probes tell") {
+    Node n;
+    n.list({1, 2, 3});
+    for (std::uint64_t t = 1; t <= 12; ++t) n.arrive(t), n.open(t);
+    const std::uint32_t quiet = n.last().ep;
+    n.pass(s);
+    n.b->unheard(quiet, 9 * s / 10);
+    n.pass(s);
+    CHECK(n.moved.empty());
+    n.b->unheard(quiet, s);
+    n.pass(2 * s);
+    CHECK(!n.moved.empty());
+    for (const auto t : n.moved) CHECK(n.sent[t - 1].ep == quiet);
+    for (std::uint64_t t = 20; t < 30; ++t) {
+        n.arrive(t);
+        CHECK(n.last().ep != quiet);
+    }
+}
+
+TEST_CASE("where nothing tells how long messages take, work that reports show piling up weighs") {
+    const auto goes_to = [](bool hears_delay) {
+        Terms terms = Node::usual(0, 1);
+        terms.hears_delay = hears_delay;
+        Node n(terms);
+        n.list({1, 2});
+        int first = 0;
+        for (int i = 0; i < 40; ++i) {
+            n.pass(s / 4);
+            for (const auto p : std::exchange(n.probes, {})) {
+                Report r;
+                r.load = p == 1 ? (i < 24 ? 1.5 : 0.5) : 0.55;  // no longer asked too much, but not yet through
+                n.b->probed(static_cast<std::uint32_t>(p), Ending::ok, ms, r);
+            }
+            if (i < 30) continue;
+            const auto t = static_cast<std::uint64_t>(100 + i);
+            n.arrive(t);
+            first += n.last().ep == 1 ? 1 : 0;
+            n.b->ended(t, 0, n.last().ep, Ending::called_off, ms, true);
+        }
+        return first;
+    };
+    CHECK(goes_to(true) > 0);
+    CHECK(goes_to(false) == 0);
+}
+
 TEST_CASE("a node whose gossip is slowed by its price is not taken for dead, nor its price forgotten") {
     auto terms = Node::usual(0, 2);
     terms.prices.peer = 1;
