--- a/example/toy_server.cpp
+++ b/example/toy_server.cpp
@@ -2,7 +2,6 @@
 //     lemonstair_toy DISCOVERY HOST [HOST ...]        each an address and a port
 // A host opens every tunnel, echoes its lines, and tells as its load how many it holds of ten.
 #include <poll.h>
-
 #include <sys/socket.h>
 
 #include <array>
@@ -32,8 +31,9 @@
             const auto n = doors_.size();
             doors_.emplace_back(loop, net::listen_on(*at), POLLIN, *this, n);
             if (n > 0)
-                members_ += std::string(n > 1 ? "," : "") + R"({"id":"toy-)" + std::to_string(n) + R"(","host_port":")" +
-                            name + R"(","locality":"here","phase":"in_service","size":1.0,"up_since_ms":0})";
+                members_ += std::string(n > 1 ? "," : "") + R"({"id":"toy-)" + std::to_string(n) +
+                            R"(","host_port":")" + name +
+                            R"(","locality":"here","phase":"in_service","size":1.0,"up_since_ms":0})";
         }
         loop.at(loop.now() + sign_every, *this, 0);
     }
@@ -87,7 +87,8 @@
             if (line.substr(0, 4) != "GET ") return true;  // the call's other head lines
             const std::string list = R"({"revision":1,"complete":true,"members":[)" + members_ + "]}\n";
             std::ostringstream answer;
-            answer << "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" << std::hex << list.size() << "\r\n"
+            answer << "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   << std::hex << list.size() << "\r\n"
                    << list << "\r\n";
             from.watches = true;
             return say(from, answer.str());
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -70,7 +70,7 @@
     std::uint32_t seed = 1;
     bool must_ask = false;  // discovery speaks only when asked
     bool groups = false;
-    bool sized = false;  // the listed size compares eps
+    bool sized = false;        // the listed size compares eps
     bool hears_delay = false;  // the front tells how long messages take at each ep, answered or not
 };
 
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -63,7 +63,7 @@
         elsewhere += load - others[node];
         others[node] = load;
     }
-    double piled = 0;  // seconds of work, as its reports add up
+    double piled = 0;                     // seconds of work, as its reports add up
     double x = Report::none, x_told = 0;  // load over what it can do, as last reported; as last told to all
     Tenths x_at = -never, x_told_at = -never;
     Tenths judged_at = 0;
--- a/src/config/terms.h
+++ b/src/config/terms.h
@@ -14,7 +14,9 @@
 namespace lemonstair::config {
 
 constexpr double tenths_a_second = 10000.0;
-inline Tenths down(double seconds) { return static_cast<Tenths>(std::floor(seconds * tenths_a_second + 1e-3)); }
+inline Tenths down(double seconds) {
+    return static_cast<Tenths>(std::floor(seconds * tenths_a_second + 1e-3));
+}
 inline Tenths up(double seconds) { return static_cast<Tenths>(std::ceil(seconds * tenths_a_second - 1e-3)); }
 
 // Throws json::Malformed, which names the faulty field.
--- a/src/discovery/hosts.cpp
+++ b/src/discovery/hosts.cpp
@@ -31,7 +31,7 @@
             readable = readable && m.type() == json::Type::object && m.has("id") && m.has("phase");
         });
         if (!readable) log_.error() << "list " << revision << " holds entries that cannot be read";
-        balancer.list_begin(remembered ? ListKind::remembered
+        balancer.list_begin(remembered          ? ListKind::remembered
                             : whole && readable ? ListKind::whole
                                                 : ListKind::changes);
     } catch (const json::Malformed& e) {
--- a/src/discovery/hosts.h
+++ b/src/discovery/hosts.h
@@ -1,5 +1,5 @@
-// The door for hosts: the ids and addresses that discovery gives become small places; the module and the other
-// nodes know a host by a number made of its id, which is the same at every node.
+// The door for hosts: the ids and addresses that discovery gives become small places; the module and the
+// other nodes know a host by a number made of its id, which is the same at every node.
 #pragma once
 
 #include <cstdint>
--- a/src/discovery/http_lines.cpp
+++ b/src/discovery/http_lines.cpp
@@ -54,7 +54,8 @@
         }
         case Part::chunk_size: {
             const auto [stop, error] = std::from_chars(line.data(), line.data() + line.size(), left_, 16);
-            const bool sized = error == std::errc{} && (stop == line.data() + line.size() || *stop == ';' || *stop == ' ');
+            const bool sized =
+                error == std::errc{} && (stop == line.data() + line.size() || *stop == ';' || *stop == ' ');
             part_ = !sized ? Part::bad : left_ > 0 ? Part::body : Part::trailer;
             return;
         }
--- a/src/discovery/http_lines.h
+++ b/src/discovery/http_lines.h
@@ -24,7 +24,8 @@
             std::string_view body = bytes.substr(0, n);
             bytes.remove_prefix(n);
             if (chunked_ && left_ == 0) part_ = Part::chunk_end;
-            for (std::size_t end; (end = body.find('\n')) != std::string_view::npos; body.remove_prefix(end + 1)) {
+            for (std::size_t end; (end = body.find('\n')) != std::string_view::npos;
+                 body.remove_prefix(end + 1)) {
                 line_.append(body.substr(0, end));
                 if (!line_.empty() && line_.back() == '\r') line_.pop_back();
                 each_line(std::string_view(line_));
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-// Discovery takes calls in turn, so the first answer may be late; once a watch stands, a sign comes every 2 s.
+// Discovery takes calls in turn, so the first answer may be late; once a watch stands, a sign comes every 2
+// s.
 constexpr net::Tenths patience_connecting = 10000, patience_asking = 50000, patience_standing = 50000;
 constexpr int reads_a_pass = 64;
 
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -28,7 +28,8 @@
 
 class Watch final : public net::Waiter {
   public:
-    Watch(net::Loop& loop, net::BufferPool& pool, const net::Address& discovery, Hearer& hearer, log::Log& log)
+    Watch(net::Loop& loop, net::BufferPool& pool, const net::Address& discovery, Hearer& hearer,
+          log::Log& log)
         : loop_(loop), pool_(pool), discovery_(discovery), hearer_(hearer), log_(log) {}
     // Nothing happens where a call is under way or stands.
     void open(std::uint64_t after_revision);
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -29,11 +29,11 @@
     friend class Value;
     friend class Reader;
     struct Item {
-        std::string_view raw;       // a text's characters, a number's or a truth's letters
-        std::uint32_t next = 0;     // the place after this value and all within it
+        std::string_view raw;    // a text's characters, a number's or a truth's letters
+        std::uint32_t next = 0;  // the place after this value and all within it
         Type type = Type::null;
     };
-    std::vector<Item> items_;       // a field is its name's text, then its value
+    std::vector<Item> items_;  // a field is its name's text, then its value
     std::deque<std::string> unescaped_;
 };
 
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -1,5 +1,5 @@
-// Buffers of one size, kept in a pool and used again. A buffer is a queue of bytes: put at the end, taken from
-// the front; an empty handle holds no memory.
+// Buffers of one size, kept in a pool and used again. A buffer is a queue of bytes: put at the end, taken
+// from the front; an empty handle holds no memory.
 #pragma once
 
 #include <array>
@@ -32,7 +32,9 @@
     inline void give_back();
     bool held() const { return bytes_ != nullptr; }
     bool empty() const { return begin_ == end_; }
-    std::string_view view() const { return held() ? std::string_view(bytes_->data() + begin_, end_ - begin_) : std::string_view{}; }
+    std::string_view view() const {
+        return held() ? std::string_view(bytes_->data() + begin_, end_ - begin_) : std::string_view{};
+    }
     void take(std::size_t n) { begin_ += n; }
     // Room at the end, after moving what is there to the front.
     std::pair<char*, std::size_t> room() {
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -1,5 +1,6 @@
-// The node's clock in whole tenths of a millisecond. It runs by the steady clock and is set once, at the start,
-// by Unix time: the stamps of records travel between machines, and hosts' starts are told in Unix time.
+// The node's clock in whole tenths of a millisecond. It runs by the steady clock and is set once, at the
+// start, by Unix time: the stamps of records travel between machines, and hosts' starts are told in Unix
+// time.
 #pragma once
 
 #include <chrono>
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -37,8 +37,8 @@
     const int n = ::poll(polled_.data(), polled_.size(), static_cast<int>((span + 9) / 10));
     if (n < 0 && errno != EINTR && errno != EAGAIN)
         throw std::system_error(errno, std::generic_category(), "poll");
-    for (std::uint32_t slot = 0, left = n > 0 ? static_cast<std::uint32_t>(n) : 0; left > 0 && slot < polled_.size();
-         ++slot) {
+    for (std::uint32_t slot = 0, left = n > 0 ? static_cast<std::uint32_t>(n) : 0;
+         left > 0 && slot < polled_.size(); ++slot) {
         if (polled_[slot].revents == 0) continue;
         happened_.push_back({slot, uses_[slot].serial, polled_[slot].revents});
         --left;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -33,7 +33,9 @@
     void wait_for(std::uint32_t slot, short events) { polled_[slot].events = events; }
     void remove(std::uint32_t slot);
     // There is no way to unset a timer: its waiter tells by the token whether it still counts.
-    void at(Tenths when, Waiter& waiter, std::uint64_t token) { timers_.push({when, order_++, &waiter, token}); }
+    void at(Tenths when, Waiter& waiter, std::uint64_t token) {
+        timers_.push({when, order_++, &waiter, token});
+    }
     std::size_t descriptors() const { return polled_.size() - free_.size(); }
     // One pass: waits, then calls each waiter whose descriptor is ready or whose timer is due, and `after`
     // when it returns.
@@ -93,7 +95,10 @@
   public:
     Socket() = default;
     Socket(Loop& loop, Fd fd, short events, Waiter& waiter, std::uint64_t token)
-        : loop_(&loop), fd_(std::move(fd)), slot_(loop.add(fd_.get(), events, waiter, token)), events_(events) {}
+        : loop_(&loop),
+          fd_(std::move(fd)),
+          slot_(loop.add(fd_.get(), events, waiter, token)),
+          events_(events) {}
     Socket(Socket&& other) noexcept
         : loop_(other.loop_), fd_(std::move(other.fd_)), slot_(other.slot_), events_(other.events_) {}
     Socket& operator=(Socket&& other) noexcept {
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,5 +1,5 @@
-// lemonstair: one node. Its configuration is the JSON file that NODE_CONFIG names; LEMONSTAIR_LOG is the log's
-// level: error, info or debug.
+// lemonstair: one node. Its configuration is the JSON file that NODE_CONFIG names; LEMONSTAIR_LOG is the
+// log's level: error, info or debug.
 #include <csignal>
 #include <cstdlib>
 #include <exception>
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -60,7 +60,8 @@
     const json::Value list = known.told_as("known");
     if (list.type() == json::Type::object) hosts_.take(list, stages_.floor.mind(), true);
     stages_.take_in.listen_on(launch_.listen);
-    for (const auto& [timer, every] : {std::pair{look_over_timer, look_over_every}, {tally_timer, tally_every}})
+    for (const auto& [timer, every] :
+         {std::pair{look_over_timer, look_over_every}, {tally_timer, tally_every}})
         loop_.at(loop_.now() + every, *this, timer);
     if (!launch_.terms.must_ask) watch_.open(hosts_.revision());
     go(Phase::serving);
@@ -86,12 +87,18 @@
 
 void Node::carry_out(const Orders::Order& order) {
     switch (order.kind) {
-        case Orders::Kind::set_up: return stages_.route.set_up(order.tun, order.ep, order.span);
-        case Orders::Kind::decline: return stages_.route.decline(order.tun, order.span);
-        case Orders::Kind::close_with_error: return stages_.route.close_with_error(order.tun);
-        case Orders::Kind::move: return stages_.route.move(order.tun);
-        case Orders::Kind::probe: return prober_.probe(order.ep);
-        case Orders::Kind::watch: return watch_.open(hosts_.revision());
+        case Orders::Kind::set_up:
+            return stages_.route.set_up(order.tun, order.ep, order.span);
+        case Orders::Kind::decline:
+            return stages_.route.decline(order.tun, order.span);
+        case Orders::Kind::close_with_error:
+            return stages_.route.close_with_error(order.tun);
+        case Orders::Kind::move:
+            return stages_.route.move(order.tun);
+        case Orders::Kind::probe:
+            return prober_.probe(order.ep);
+        case Orders::Kind::watch:
+            return watch_.open(hosts_.revision());
     }
 }
 
@@ -108,8 +115,8 @@
     failed_calls_ = 0;
 }
 
-// Where the node must ask, the module says when to ask again; else the watch comes back by itself, later after
-// each failure and by chance, so that not all nodes call discovery at once when it is back.
+// Where the node must ask, the module says when to ask again; else the watch comes back by itself, later
+// after each failure and by chance, so that not all nodes call discovery at once when it is back.
 void Node::watch_lost() {
     Balancer& mind = stages_.floor.mind();
     mind.list_begin(ListKind::failed);
@@ -139,10 +146,11 @@
     loop_.at(loop_.now() + tally_every, *this, tally_timer);
     const auto& floor = stages_.floor;
     const auto& n = floor.tally;
-    log_.info() << "tunnels in hand " << floor.in_hand << ", buffers out " << floor.pool.out() << ", descriptors "
-                << loop_.descriptors() << "; so far taken " << n.taken << ", opened " << n.opened << ", declined "
-                << n.declined << " (" << n.busy << " for want of room), closed with error " << n.failed
-                << ", moved " << n.moved << " (" << n.silent << " off silent hosts)";
+    log_.info() << "tunnels in hand " << floor.in_hand << ", buffers out " << floor.pool.out()
+                << ", descriptors " << loop_.descriptors() << "; so far taken " << n.taken << ", opened "
+                << n.opened << ", declined " << n.declined << " (" << n.busy
+                << " for want of room), closed with error " << n.failed << ", moved " << n.moved << " ("
+                << n.silent << " off silent hosts)";
 }
 
 void Node::look_over() {
--- a/src/node/orders.h
+++ b/src/node/orders.h
@@ -40,7 +40,9 @@
     void decline(std::uint64_t tun, Tenths come_back_after) override {
         waiting_.push_back({Kind::decline, 0, tun, come_back_after});
     }
-    void close_with_error(std::uint64_t tun) override { waiting_.push_back({Kind::close_with_error, 0, tun}); }
+    void close_with_error(std::uint64_t tun) override {
+        waiting_.push_back({Kind::close_with_error, 0, tun});
+    }
     void move(std::uint64_t tun) override { waiting_.push_back({Kind::move, 0, tun}); }
     void probe(std::uint32_t ep) override { waiting_.push_back({Kind::probe, ep}); }
     void watch_list() override { waiting_.push_back({Kind::watch}); }
--- a/src/probe/prober.cpp
+++ b/src/probe/prober.cpp
@@ -73,7 +73,8 @@
     Line& l = lines_[place];
     const std::string_view question = reports_ ? "STATS\r\n" : "PING\r\n";
     l.state = State::asking;
-    if (net::write_some(l.socket.fd(), question).bytes != question.size()) return lost(place, Ending::unreachable);
+    if (net::write_some(l.socket.fd(), question).bytes != question.size())
+        return lost(place, Ending::unreachable);
     l.socket.wait_for(POLLIN);
     set_due(place, loop_.now() + answer_timeouts * connect_timeout_);
 }
--- a/src/probe/prober.h
+++ b/src/probe/prober.h
@@ -24,9 +24,14 @@
 
 class Prober final : public net::Waiter {
   public:
-    Prober(net::Loop& loop, net::BufferPool& pool, const discovery::Hosts& hosts, Hearer& hearer, bool reports,
-           Tenths connect_timeout)
-        : loop_(loop), pool_(pool), hosts_(hosts), hearer_(hearer), reports_(reports), connect_timeout_(connect_timeout) {}
+    Prober(net::Loop& loop, net::BufferPool& pool, const discovery::Hosts& hosts, Hearer& hearer,
+           bool reports, Tenths connect_timeout)
+        : loop_(loop),
+          pool_(pool),
+          hosts_(hosts),
+          hearer_(hearer),
+          reports_(reports),
+          connect_timeout_(connect_timeout) {}
     void probe(std::uint32_t ep);
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
@@ -41,7 +46,9 @@
         State state = State::closed;
         bool used_before = false;
     };
-    std::uint64_t token_of(std::uint32_t place) const { return std::uint64_t{lines_[place].serial} << 32 | place; }
+    std::uint64_t token_of(std::uint32_t place) const {
+        return std::uint64_t{lines_[place].serial} << 32 | place;
+    }
     void connect(std::uint32_t place);
     void ask(std::uint32_t place);
     void close(std::uint32_t place);
--- a/src/tunnel/admit.cpp
+++ b/src/tunnel/admit.cpp
@@ -7,7 +7,8 @@
 namespace lemonstair::tunnel {
 
 std::size_t Admit::room() const {
-    const std::size_t kept = spare + floor_.hosts.size() + std::min<std::size_t>(64, floor_.launch.sockets / 8);
+    const std::size_t kept =
+        spare + floor_.hosts.size() + std::min<std::size_t>(64, floor_.launch.sockets / 8);
     return floor_.launch.sockets > kept ? (floor_.launch.sockets - kept) / 2 : 1;
 }
 
--- a/src/tunnel/book.cpp
+++ b/src/tunnel/book.cpp
@@ -54,7 +54,8 @@
     t.known = false;
     floor_.log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << " at ep " << floor_.hosts[t.place].ep
                        << " over, ending " << static_cast<int>(ending) << ", lines owed " << t.owed;
-    floor_.mind().ended(id, t.setups - 1, floor_.hosts[t.place].ep, ending, floor_.loop.now() - t.setup_from, true);
+    floor_.mind().ended(id, t.setups - 1, floor_.hosts[t.place].ep, ending, floor_.loop.now() - t.setup_from,
+                        true);
 }
 
 void Book::depart(Id id) {
--- a/src/tunnel/floor.cpp
+++ b/src/tunnel/floor.cpp
@@ -4,15 +4,24 @@
 
 std::string_view name_of(State s) {
     switch (s) {
-        case State::free: return "free";
-        case State::taking_in: return "taking in";
-        case State::deciding: return "deciding";
-        case State::connecting: return "connecting";
-        case State::sending_line: return "sending its line";
-        case State::awaiting_answer: return "awaiting an answer";
-        case State::relaying: return "relaying";
-        case State::moving: return "moving";
-        case State::departing: return "departing";
+        case State::free:
+            return "free";
+        case State::taking_in:
+            return "taking in";
+        case State::deciding:
+            return "deciding";
+        case State::connecting:
+            return "connecting";
+        case State::sending_line:
+            return "sending its line";
+        case State::awaiting_answer:
+            return "awaiting an answer";
+        case State::relaying:
+            return "relaying";
+        case State::moving:
+            return "moving";
+        case State::departing:
+            return "departing";
     }
     return "";
 }
@@ -22,7 +31,8 @@
     const auto counts = [](State s) { return s != State::free && s != State::taking_in; };
     if (!counts(t.state) && counts(to)) ++admitted;
     if (counts(t.state) && !counts(to)) --admitted;
-    log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << ": " << name_of(t.state) << " -> " << name_of(to);
+    log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << ": " << name_of(t.state) << " -> "
+                << name_of(to);
     t.state = to;
     if (to != State::free) return;
     --in_hand;
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -1,5 +1,5 @@
-// What the stages of a tunnel share: the loop, the buffers, the slab of tunnels, the module, the hosts; and the
-// one function through which every change of a tunnel's state goes.
+// What the stages of a tunnel share: the loop, the buffers, the slab of tunnels, the module, the hosts; and
+// the one function through which every change of a tunnel's state goes.
 #pragma once
 
 #include <cstdint>
@@ -63,7 +63,7 @@
     net::BufferPool pool;
     Slab<Tunnel> tunnels;
     Tally tally;
-    std::size_t in_hand = 0;  // tunnels that are not free
+    std::size_t in_hand = 0;   // tunnels that are not free
     std::size_t admitted = 0;  // of these, those that are past their first line
 };
 
--- a/src/tunnel/opening.cpp
+++ b/src/tunnel/opening.cpp
@@ -43,8 +43,8 @@
 
 }  // namespace
 
-bool read_opening(std::string_view line, const std::vector<std::string>& profiles, Tenths now, Arrival& arrival,
-                  std::string_view& holder) {
+bool read_opening(std::string_view line, const std::vector<std::string>& profiles, Tenths now,
+                  Arrival& arrival, std::string_view& holder) {
     if (line.substr(0, word.size()) != word || !printable(line)) return false;
     line.remove_prefix(word.size());
     const std::string_view id = cut(line, ' ');
@@ -74,13 +74,16 @@
 bool write_opening(std::string_view line, Tenths wait, net::Buffer& into) {
     const auto list = line.rfind(' ') + 1;
     auto at = list;
-    while (at < line.size() && line.substr(at, 2) != "d=") at = std::min(line.find(',', at), line.size() - 1) + 1;
+    while (at < line.size() && line.substr(at, 2) != "d=")
+        at = std::min(line.find(',', at), line.size() - 1) + 1;
     const auto rest = std::min(line.find(',', at), line.size());
     std::array<char, 24> digits{};
-    const char* end = std::to_chars(digits.data(), digits.data() + digits.size(), std::max<Tenths>(wait, 0) / 10).ptr;
+    const char* end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), std::max<Tenths>(wait, 0) / 10).ptr;
     bool fits = into.append(line.substr(0, at));
     if (at < line.size()) {
-        fits = fits && into.append("d=") && into.append({digits.data(), static_cast<std::size_t>(end - digits.data())});
+        fits = fits && into.append("d=") &&
+               into.append({digits.data(), static_cast<std::size_t>(end - digits.data())});
         fits = fits && into.append(line.substr(rest));
     }
     return fits && into.append("\r\n");
--- a/src/tunnel/opening.h
+++ b/src/tunnel/opening.h
@@ -10,10 +10,10 @@
 
 namespace lemonstair::tunnel {
 
-// Without its line end. `holder` is the host at which it is open already, or empty. What the views show is the
-// line itself. False where it is no such line.
-bool read_opening(std::string_view line, const std::vector<std::string>& profiles, Tenths now, Arrival& arrival,
-                  std::string_view& holder);
+// Without its line end. `holder` is the host at which it is open already, or empty. What the views show is
+// the line itself. False where it is no such line.
+bool read_opening(std::string_view line, const std::vector<std::string>& profiles, Tenths now,
+                  Arrival& arrival, std::string_view& holder);
 
 // The line as it was, but for how long the node will wait; with its end. False where it does not fit.
 bool write_opening(std::string_view line, Tenths wait, net::Buffer& into);
--- a/src/tunnel/relay.cpp
+++ b/src/tunnel/relay.cpp
@@ -54,7 +54,8 @@
     if ((events & POLLOUT) != 0 && !write(id, side)) return;
     if ((events & (POLLIN | POLLHUP | POLLERR)) != 0 && !out_of(t, side).ended && !read(id, side)) return;
     // What a side that broke had sent cannot all be read while the other takes nothing.
-    if ((events & POLLERR) != 0 && (out_of(t, side).ended || out_of(t, side).waiting.held())) return broken(id, side);
+    if ((events & POLLERR) != 0 && (out_of(t, side).ended || out_of(t, side).waiting.held()))
+        return broken(id, side);
     settle(id);
 }
 
@@ -69,7 +70,8 @@
         if (got.error != 0) return broken(id, from), false;
         if (got.ended) {
             way.ended = true;
-            floor_.set_due(id, t, floor_.loop.now() + (from == Side::host ? longest_ending : longest_parting));
+            floor_.set_due(id, t,
+                           floor_.loop.now() + (from == Side::host ? longest_ending : longest_parting));
             break;
         }
         if (got.bytes == 0) break;
@@ -193,7 +195,8 @@
     // A client that is moved is read no further than to the end of its line.
     const bool read_client = !t.up.ended && t.up.waiting.empty() && (!moving || t.up.line_size > 0);
     const bool read_host = !t.down.ended && t.down.waiting.empty() && (!moving || t.down.line_size > 0);
-    t.client.wait_for(static_cast<short>((read_client ? POLLIN : 0) | (t.down.waiting.empty() ? 0 : POLLOUT)));
+    t.client.wait_for(
+        static_cast<short>((read_client ? POLLIN : 0) | (t.down.waiting.empty() ? 0 : POLLOUT)));
     t.host.wait_for(static_cast<short>((read_host ? POLLIN : 0) | (t.up.waiting.empty() ? 0 : POLLOUT)));
 }
 
@@ -209,7 +212,8 @@
 void Relay::due(Id id) {
     Tunnel& t = *floor_.find(id);
     if (floor_.loop.now() < t.due) return;
-    if (t.state == State::moving && !t.moves_on) {  // the host's side is stuck in a line: the client goes first
+    if (t.state == State::moving &&
+        !t.moves_on) {  // the host's side is stuck in a line: the client goes first
         t.moves_on = true;
         floor_.set_due(id, t, floor_.loop.now() + longest_ending);
         return settle(id);
@@ -232,8 +236,8 @@
     settle(id);
 }
 
-// Guards against hosts that vanish or hang: their connections stay open and say nothing. The module hears of a
-// host that owes lines and has sent none on any tunnel; a tunnel that waited long enough is broken, and its
+// Guards against hosts that vanish or hang: their connections stay open and say nothing. The module hears of
+// a host that owes lines and has sent none on any tunnel; a tunnel that waited long enough is broken, and its
 // client moved.
 void Relay::look_over() {
     unheard_.assign(floor_.hosts.size(), 0);
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -113,7 +113,8 @@
     if (begins(line, "UP") || begins(line, "BYE")) return opened(id);
     if (begins(line, "BUSY")) return failed(id, Ending::full);
     if (begins(line, "MOVE")) return failed(id, Ending::called_off);
-    if (!begins(line, "ERR")) floor_.log.error() << "host answered a setup with '" << line.substr(0, 40) << "'";
+    if (!begins(line, "ERR"))
+        floor_.log.error() << "host answered a setup with '" << line.substr(0, 40) << "'";
     failed(id, Ending::error);
 }
 
@@ -125,7 +126,8 @@
     if (t.standing) {
         Arrival arrival;
         std::string_view holder;
-        read_opening(first_line(t.opening.view()), floor_.launch.profiles, floor_.loop.now(), arrival, holder);
+        read_opening(first_line(t.opening.view()), floor_.launch.profiles, floor_.loop.now(), arrival,
+                     holder);
         t.known = true;
         floor_.mind().adopt(id, arrival, ep);
     } else {
@@ -145,7 +147,8 @@
     floor_.go(id, State::deciding);
     if (t.standing) return floor_.set_due(id, t, std::min(t.give_up_at, floor_.loop.now() + standing_pause));
     t.due = 0;
-    floor_.mind().ended(id, t.setups - 1, floor_.hosts[t.place].ep, ending, floor_.loop.now() - t.setup_from, false);
+    floor_.mind().ended(id, t.setups - 1, floor_.hosts[t.place].ep, ending, floor_.loop.now() - t.setup_from,
+                        false);
 }
 
 void Send::due(Id id) {
--- a/src/tunnel/stages.h
+++ b/src/tunnel/stages.h
@@ -1,5 +1,5 @@
-// The chain of stages that a tunnel passes: take in, admit, route, send, relay, book. What happens to a tunnel's
-// sockets and timers goes to the stage that its state names.
+// The chain of stages that a tunnel passes: take in, admit, route, send, relay, book. What happens to a
+// tunnel's sockets and timers goes to the stage that its state names.
 #pragma once
 
 #include "tunnel/admit.h"
@@ -22,15 +22,20 @@
         const Tunnel* t = floor.find(id);
         if (t == nullptr) return;
         switch (t->state) {
-            case State::free: return;
-            case State::taking_in: return take_in.client_ready(id);
+            case State::free:
+                return;
+            case State::taking_in:
+                return take_in.client_ready(id);
             case State::deciding:
             case State::connecting:
             case State::sending_line:
-            case State::awaiting_answer: return send.ready(id, side, events);
+            case State::awaiting_answer:
+                return send.ready(id, side, events);
             case State::relaying:
-            case State::moving: return relay.ready(id, side, events);
-            case State::departing: return book.ready(id, side);
+            case State::moving:
+                return relay.ready(id, side, events);
+            case State::departing:
+                return book.ready(id, side);
         }
     }
     void due(std::uint64_t token) override {
@@ -38,15 +43,20 @@
         const Tunnel* t = floor.find(id);
         if (t == nullptr) return;
         switch (t->state) {
-            case State::free: return;
-            case State::taking_in: return take_in.client_due(id);
+            case State::free:
+                return;
+            case State::taking_in:
+                return take_in.client_due(id);
             case State::deciding:
             case State::connecting:
             case State::sending_line:
-            case State::awaiting_answer: return send.due(id);
+            case State::awaiting_answer:
+                return send.due(id);
             case State::relaying:
-            case State::moving: return relay.due(id);
-            case State::departing: return book.due(id);
+            case State::moving:
+                return relay.due(id);
+            case State::departing:
+                return book.due(id);
         }
     }
 
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -106,7 +106,8 @@
         floor_.log.error() << "a client's first line cannot be read";
         return book_.close_with_error(id), false;
     }
-    if (!holder.empty()) arrival.give_up_at = std::max(arrival.give_up_at, floor_.loop.now() + longest_standing_wait);
+    if (!holder.empty())
+        arrival.give_up_at = std::max(arrival.give_up_at, floor_.loop.now() + longest_standing_wait);
     admit_.admit(id, arrival, holder);
     return false;
 }
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -11,8 +11,8 @@
 
 namespace lemonstair::tunnel {
 
-// Free; its first line is awaited; the module decides; a setup is out, in three steps; open; being moved, until
-// both sides stand between two lines; its last words are on their way out.
+// Free; its first line is awaited; the module decides; a setup is out, in three steps; open; being moved,
+// until both sides stand between two lines; its last words are on their way out.
 enum class State : std::uint8_t {
     free,
     taking_in,
@@ -29,10 +29,10 @@
 
 // What of one direction matters between two reads.
 struct Direction {
-    net::Buffer waiting;      // read from one side, not yet taken by the other
+    net::Buffer waiting;          // read from one side, not yet taken by the other
     std::uint32_t line_size = 0;  // bytes read of the line at hand; 0: it stands between two lines
-    bool ended = false;       // its source has ended its sending
-    bool end_passed = false;  // and its target was told
+    bool ended = false;           // its source has ended its sending
+    bool end_passed = false;      // and its target was told
 };
 
 struct Tunnel {
@@ -40,11 +40,11 @@
     net::Buffer opening;  // the client's first line, and what came behind it, until the host's UP
     Direction up, down;   // client to host; host to client
     Tenths give_up_at = 0, setup_from = 0, setup_until = 0;
-    Tenths due = 0;           // when the state it is in has lasted too long
+    Tenths due = 0;            // when the state it is in has lasted too long
     Tenths waiting_since = 0;  // for a line from the host; 0: none is owed
     std::uint32_t place = 0;   // of the host that it is set up at
     std::uint32_t profile = 0;
-    std::uint32_t owed = 0;    // client lines that no line from the host has followed
+    std::uint32_t owed = 0;  // client lines that no line from the host has followed
     int setups = 0;
     std::array<char, 32> head{};  // the beginning of the host's line at hand
     std::uint8_t head_size = 0;
