--- a/src/balance/id_index.h
+++ b/src/balance/id_index.h
@@ -1,6 +1,7 @@
 // IdIndex: 64-bit id -> small index, open addressing with backward-shift deletion. It is never iterated.
 #pragma once
 #include <cstdint>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -14,6 +15,12 @@
     return v ^ (v >> 31);
 }
 
+inline std::uint64_t hash_text(std::string_view text) {
+    std::uint64_t h = 0xcbf29ce484222325ULL;
+    for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    return mix(h);
+}
+
 class IdIndex {
   public:
     static constexpr std::uint32_t none = 0xffffffffU;
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -11,10 +11,10 @@
 
 #include "balance/balance.h"
 #include "balance/id_index.h"
+#include "balance/outbox.h"
 #include "balance/record_table.h"
 #include "balance/ring.h"
 #include "balance/slab.h"
-#include "peer/outbox.h"
 
 namespace lemonstair {
 
@@ -94,12 +94,6 @@
     bool lives = true;
 };
 
-inline std::uint64_t hash_text(std::string_view text) {
-    std::uint64_t h = 0xcbf29ce484222325ULL;
-    for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-    return mix(h);
-}
-
 // All that one node remembers.
 struct Memory {
     Memory(Terms given, Host& to, Tenths at)
--- a/src/discovery/hosts.cpp
+++ b/src/discovery/hosts.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "balance/state.h"
 #include "net/clock.h"
 
 namespace lemonstair::discovery {
