A moved tunnel's host cannot hold the MOVE back by beginning one line after another

Seen on a reading of the relay: while a move waits for the end of the line at hand, a read that brings that end and the beginning of the next left the tunnel between no two lines, and a host that always has more would have had its client cut off without MOVE after 1.6 s (relay.cpp, read and due). What follows the end of the line is now left out, as the tunnel ends there. The story of the leaving node sends such a line.

--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -46,6 +46,7 @@
         return {bytes_->data() + end_, bytes_->size() - end_};
     }
     void added(std::size_t n) { end_ += n; }
+    void cut_end(std::size_t n) { end_ -= n; }
     bool append(std::string_view text) {
         const auto [at, left] = room();
         if (text.size() > left) return false;
--- a/src/tunnel/relay.cpp
+++ b/src/tunnel/relay.cpp
@@ -80,8 +80,14 @@
             client_bytes(t, {at, got.bytes});
         else
             host_bytes(id, {at, got.bytes});
+        // What follows the end of the line at hand would begin one that a moved tunnel cannot end.
+        if (t.state == State::moving && way.line_size < got.bytes) {
+            way.waiting.cut_end(way.line_size);
+            way.line_size = 0;
+        }
         if (way.line_size > longest_line) return broken(id, from), false;  // a line without end
         if (!write(id, other(from))) return false;
+        if (t.state == State::moving && way.line_size == 0) break;
     }
     if (way.waiting.empty()) way.waiting.give_back();
     return true;
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -130,7 +130,7 @@
     CHECK(town.until([&] { return c2.over(); }));
     CHECK(c2.got == "MOVE\r\n");
     CHECK(!c.over());
-    h.say("line\r\n");
+    h.say("line\r\nand half of the ne");
     CHECK(town.until([&] { return c.over(); }));
     CHECK(c.got == "half a line\r\nMOVE\r\n");
     CHECK(!c.reset);
