One piece each for a line's end, for want of descriptors, for a list without entries

On a last reading the same few lines stood more than once: cutting a line from its end (send, relay, take in, prober) is net::first_line; what errors are the node's own want (accept, setups, probes) is net::none_left and net::own_want. The probes' list lacked ENOMEM and EAGAIN, which setups had: a probe that fails for these no longer counts against the host. The shortest goal of a message is found once, not at each answered line. A tunnel's profile was kept and never read.

--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -63,6 +63,12 @@
     return fd;
 }
 
+bool none_left(int error) {
+    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
+bool own_want(int error) { return none_left(error) || error == EADDRNOTAVAIL || error == EAGAIN; }
+
 int connected(int fd) {
     int error = 0;
     socklen_t size = sizeof error;
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -29,6 +29,10 @@
 
 // A connection under way; not open where the system had no descriptor or address for it.
 Fd connect_to(const Address& to);
+// Errors that say that the system has no descriptor or memory left, and those that, like them, keep a
+// connection from being tried at all: neither tells anything of the other side.
+bool none_left(int error);
+bool own_want(int error);
 // What became of it, as an errno; 0: it is up.
 int connected(int fd);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -108,19 +108,21 @@
     return taken;
 }
 
-void Node::nothing_new() {
+void Node::tell_list(ListKind kind) {
     Balancer& mind = stages_.floor.mind();
-    mind.list_begin(ListKind::changes);
+    mind.list_begin(kind);
     mind.list_end();
+}
+
+void Node::nothing_new() {
+    tell_list(ListKind::changes);
     failed_calls_ = 0;
 }
 
 // Where the node must ask, the module says when to ask again; else the watch comes back by itself, later
 // after each failure and by chance, so that not all nodes call discovery at once when it is back.
 void Node::watch_lost() {
-    Balancer& mind = stages_.floor.mind();
-    mind.list_begin(ListKind::failed);
-    mind.list_end();
+    tell_list(ListKind::failed);
     if (launch_.terms.must_ask) return;
     const Tenths pause = std::min(longest_pause, first_pause << std::min(failed_calls_++, 5));
     loop_.at(loop_.now() + pause / 2 + static_cast<Tenths>(rng_() % static_cast<std::uint32_t>(pause)), *this,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -33,6 +33,7 @@
     void go(Phase to);
     void carry_out(const Orders::Order& order);
     void look_over();
+    void tell_list(ListKind kind);  // without entries
     void move_all();
 
     bool list_heard(const json::Value& list) override;
--- a/src/probe/prober.cpp
+++ b/src/probe/prober.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 
 #include "config/terms.h"
+#include "net/lines.h"
 #include "net/sockets.h"
 
 namespace lemonstair::probe {
@@ -61,8 +62,7 @@
     Line& l = lines_[place];
     net::Fd fd = net::connect_to(hosts_[place].at);
     if (!fd.open()) {
-        const bool ours = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == EADDRNOTAVAIL;
-        return found(place, ours ? Ending::not_sent : Ending::unreachable, {});
+        return found(place, net::own_want(errno) ? Ending::not_sent : Ending::unreachable, {});
     }
     l.socket = net::Socket(loop_, std::move(fd), POLLOUT, *this, token_of(place));
     l.state = State::connecting;
@@ -106,16 +106,13 @@
     const auto got = net::read_some(l.socket.fd(), {at, room});
     if (got.error != 0 || got.ended) return lost(place, Ending::broken);
     l.answer.added(got.bytes);
-    auto line = l.answer.view();
-    const auto end = line.find('\n');
-    if (end == std::string_view::npos) {
+    const auto text = l.answer.view();
+    if (text.find('\n') == std::string_view::npos) {
         if (got.bytes == room) lost(place, Ending::error);
         return;
     }
-    line = line.substr(0, end);
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
     Report report;
-    const bool good = read_pong(line, report);
+    const bool good = read_pong(net::first_line(text), report);
     l.answer.give_back();
     l.state = State::idle;
     set_due(place, loop_.now() + idle_for);
--- a/src/tunnel/admit.cpp
+++ b/src/tunnel/admit.cpp
@@ -16,7 +16,6 @@
     Tunnel& t = *floor_.find(id);
     ++floor_.tally.taken;
     t.give_up_at = arrival.give_up_at;
-    t.profile = arrival.profile;
     const bool full = floor_.admitted >= room();
     floor_.go(id, State::deciding);
     t.client.wait_for(POLLRDHUP);  // its next bytes wait; only its going matters until it is open
--- a/src/tunnel/relay.cpp
+++ b/src/tunnel/relay.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <cmath>
 
+#include "net/lines.h"
 #include "net/sockets.h"
 
 namespace lemonstair::tunnel {
@@ -17,7 +18,7 @@
 // Clients send a line every few seconds, and a sound host answers at once: one that owes a line for this long
 // will not bring it. Long before that the module hears of a host from which no tunnel has had a line.
 constexpr Tenths silent_after = 60000, unheard_after = 5000;
-constexpr Tenths slow_from = 10000, told_every = 10000;
+constexpr Tenths told_every = 10000;
 // When a host or a client has ended, the other side gets this long to take the last bytes and end too.
 constexpr Tenths longest_ending = 8000, longest_parting = 30000;
 constexpr int reads_a_pass = 4;
@@ -36,6 +37,11 @@
 
 }  // namespace
 
+Relay::Relay(Floor& floor, Book& book) : floor_(floor), book_(book) {
+    for (const auto& p : floor.launch.terms.profiles)
+        if (p.message_goal > 0) slow_from_ = std::min(slow_from_, p.message_goal / 3);
+}
+
 void Relay::begin(Id id) {
     Tunnel& t = *floor_.find(id);
     floor_.go(id, State::relaying);
@@ -125,8 +131,7 @@
         std::copy_n(part.begin(), n, t.head.begin() + t.head_size);
         t.head_size = static_cast<std::uint8_t>(t.head_size + n);
         if (end == std::string_view::npos) return;
-        std::string_view line(t.head.data(), t.head_size);
-        if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+        const auto line = net::first_line({t.head.data(), t.head_size});
         t.head_size = 0;
         host_line(id, line);
         bytes.remove_prefix(end + 1);
@@ -159,11 +164,8 @@
 
 // Once a second for a host while messages take long there, and once more when they no longer do.
 void Relay::tell_slow(Id id, std::uint32_t place, Tenths takes) {
-    Tenths shortest = slow_from;
-    for (const auto& p : floor_.launch.terms.profiles)
-        if (p.message_goal > 0) shortest = std::min(shortest, p.message_goal / 3);
     Spoken& told = spoken(place);
-    const bool slow = takes > shortest;
+    const bool slow = takes > slow_from_;
     if (slow ? floor_.loop.now() - told.told_at < told_every : !told.slow) return;
     told.told_at = floor_.loop.now();
     told.slow = slow;
--- a/src/tunnel/relay.h
+++ b/src/tunnel/relay.h
@@ -12,7 +12,7 @@
 
 class Relay {
   public:
-    Relay(Floor& floor, Book& book) : floor_(floor), book_(book) {}
+    Relay(Floor& floor, Book& book);
     // The host's UP and what came behind it wait to go down.
     void begin(Id id);
     void ready(Id id, Side side, short events);
@@ -46,6 +46,7 @@
     std::vector<Spoken> spoken_;   // by place of the host
     std::vector<Tenths> unheard_;  // by place of the host
     std::vector<Id> silent_;
+    Tenths slow_from_ = 10000;  // a message that takes longer is told: a third of the shortest goal
 };
 
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 
+#include "net/lines.h"
 #include "net/sockets.h"
 #include "tunnel/opening.h"
 
@@ -15,12 +16,6 @@
 // Between two tries for a tunnel that is open at its host.
 constexpr Tenths standing_pause = 3000;
 
-std::string_view first_line(std::string_view text) {
-    auto line = text.substr(0, text.find('\n'));
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    return line;
-}
-
 bool begins(std::string_view line, std::string_view word) {
     return line.substr(0, word.size()) == word && (line.size() == word.size() || line[word.size()] == ' ');
 }
@@ -40,7 +35,8 @@
     Tunnel& t = *floor_.find(id);
     Arrival arrival;
     std::string_view holder;
-    read_opening(first_line(t.opening.view()), floor_.launch.profiles, floor_.loop.now(), arrival, holder);
+    read_opening(net::first_line(t.opening.view()), floor_.launch.profiles, floor_.loop.now(), arrival,
+                 holder);
     t.standing = true;
     t.place = floor_.hosts.place_of(holder);
     // What this node remembers may be older than the tunnel: discovery will name the host.
@@ -58,9 +54,7 @@
     floor_.go(id, State::connecting);
     if (!fd.open()) {
         // Without a descriptor or a port of its own the node has nothing to hold against the host.
-        const bool ours = error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM ||
-                          error == EADDRNOTAVAIL || error == EAGAIN;
-        return failed(id, ours ? Ending::not_sent : Ending::unreachable);
+        return failed(id, net::own_want(error) ? Ending::not_sent : Ending::unreachable);
     }
     t.host = floor_.socket(id, Side::host, std::move(fd), POLLOUT);
     floor_.set_due(id, t, std::min(t.setup_until, floor_.loop.now() + floor_.launch.connect_timeout));
@@ -77,7 +71,8 @@
         floor_.go(id, State::sending_line);
         // For the host: how long this node will still wait.
         t.up.waiting = floor_.pool.take();
-        if (!write_opening(first_line(t.opening.view()), t.setup_until - floor_.loop.now(), t.up.waiting))
+        if (!write_opening(net::first_line(t.opening.view()), t.setup_until - floor_.loop.now(),
+                           t.up.waiting))
             return failed(id, Ending::not_sent);
     }
     if (t.state == State::sending_line) return write_line(id);
@@ -105,7 +100,7 @@
     if (got.error != 0 || got.ended) return failed(id, Ending::broken);
     t.down.waiting.added(got.bytes);
     const auto text = t.down.waiting.view();
-    if (text.find('\n') != std::string_view::npos) return answered(id, first_line(text));
+    if (text.find('\n') != std::string_view::npos) return answered(id, net::first_line(text));
     if (got.bytes == room) failed(id, Ending::error);  // a line without end
 }
 
@@ -122,11 +117,12 @@
     Tunnel& t = *floor_.find(id);
     const std::uint32_t ep = floor_.hosts[t.place].ep;
     ++floor_.tally.opened;
-    if (begins(first_line(t.down.waiting.view()), "BYE")) t.ending = Ending::ok;  // served to its end already
+    if (begins(net::first_line(t.down.waiting.view()), "BYE"))
+        t.ending = Ending::ok;  // served to its end already
     if (t.standing) {
         Arrival arrival;
         std::string_view holder;
-        read_opening(first_line(t.opening.view()), floor_.launch.profiles, floor_.loop.now(), arrival,
+        read_opening(net::first_line(t.opening.view()), floor_.launch.profiles, floor_.loop.now(), arrival,
                      holder);
         t.known = true;
         floor_.mind().adopt(id, arrival, ep);
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -7,6 +7,7 @@
 
 #include <cerrno>
 
+#include "net/lines.h"
 #include "net/sockets.h"
 #include "tunnel/opening.h"
 
@@ -29,8 +30,7 @@
         if (floor_.loop.descriptors() >= admit_.door()) return rest();
         net::Fd fd(::accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!fd.open()) {
-            const bool none_left = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
-            if (none_left) rest();
+            if (net::none_left(errno)) rest();
             return;
         }
         const int yes = 1;
@@ -80,9 +80,7 @@
         const auto text = t.opening.view();
         const auto end = text.find('\n');
         if (end == std::string_view::npos) break;
-        auto first = text.substr(0, end);
-        if (!first.empty() && first.back() == '\r') first.remove_suffix(1);
-        if (!line(id, first)) return;
+        if (!line(id, net::first_line(text))) return;
         t.opening.take(end + 1);
     }
     if (t.opening.view().size() > longest_line) return book_.close_with_error(id);
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -43,8 +43,7 @@
     Tenths due = 0;            // when the state it is in has lasted too long
     Tenths waiting_since = 0;  // for a line from the host; 0: none is owed
     std::uint32_t place = 0;   // of the host that it is set up at
-    std::uint32_t profile = 0;
-    std::uint32_t owed = 0;  // client lines that no line from the host has followed
+    std::uint32_t owed = 0;    // client lines that no line from the host has followed
     int setups = 0;
     std::array<char, 32> head{};  // the beginning of the host's line at hand
     std::uint8_t head_size = 0;
