SIGHUP reads the configuration again and calls the new discovery at once

Checked: the log ends at the signal, nothing else is logged; node.cpp's signals() held SIGTERM and SIGINT only, so SIGHUP's default ended the process.

A watch at the old place is closed, the new one called in the same pass; what it says first is new whatever its revision. The module hears ListKind::elsewhere: its count of failures starts again, so that one failed call costs half a second instead of seconds.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -57,10 +57,10 @@
 
     // ---- the list of eps
     void at(Tenths clock) override { now = clock; }
+    void retold(Terms given) override { take_terms(std::move(given)); }
     void list_begin(ListKind kind) override {
         list_kind = kind;
-        if (kind == ListKind::whole || kind == ListKind::remembered)
-            for (auto& e : eps) e.in_list = false;
+        for (auto& e : eps) e.in_list = false;
     }
     void listed(std::uint32_t id, std::uint32_t zone, std::uint32_t cell, Life life, double size,
                 Tenths started) override {
@@ -93,15 +93,16 @@
         e.life = life;
     }
     void list_end() override {
-        if (list_kind == ListKind::failed) {
-            watching = false;
-            ++list_failures;
+        if (list_kind == ListKind::failed || list_kind == ListKind::elsewhere) {
+            watching = false;  // what the old place failed is not held against the new one
+            list_failures = list_kind == ListKind::failed ? list_failures + 1 : 0;
             const Tenths longest = std::max(second, std::min(terms.rules.ask_within, 10 * second) / 3);
             const Tenths first = std::max(second / 4, list_spread() / 2);
-            const Tenths pause = std::min(longest, first << std::min(list_failures, 6));
+            const Tenths pause =
+                list_failures == 0 ? 0 : std::min(longest, first << std::min(list_failures, 6));
             ask_list_at = now + pause / 2 + draw_span(pause);
             say("list lost, failures %d", list_failures);
-            return;
+            return keep_list();
         }
         if (list_kind == ListKind::whole || list_kind == ListKind::remembered)
             for (auto& e : eps)
@@ -119,7 +120,7 @@
             for (auto& p : peers) p.summed = now;
         weigh_fleet();
     }
-    // Each record is held at three nodes: what one node sees of the placements of all, and the inverse.
+    // Each record is held at three nodes: the placements of all for one that a node sees.
     double tunnels_a_sample() const { return nodes() / std::min(3.0, nodes()); }
     // The list serves the calls of all nodes in turn, each for some 50 ms, and fails those that wait long:
     // the first calls are spread by the number of nodes, within the time that the rule leaves.
@@ -562,8 +563,7 @@
             if (o.aside) come_back(o, "trouble everywhere");
     }
     void come_back(Ep& e, const char* why) {
-        const auto out_ms = static_cast<long long>((now - e.aside_at) / 10);
-        say("ep %u back after %lld ms, told by %s", e.id, out_ms, why);
+        say("ep %u back after %lld ms, told by %s", e.id, static_cast<long long>(now - e.aside_at) / 10, why);
         e.aside = e.silent = false;
         e.doubt = 0;
     }
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -16,7 +16,8 @@
 enum class Effect : std::uint8_t { repeatable, referenced, once_only };
 enum class Scope : std::uint8_t { all, zone, cell };  // which eps drop the repeats of a referenced tunnel
 enum class Life : std::uint8_t { in_service, draining, gone };
-enum class ListKind : std::uint8_t { changes, whole, remembered, failed };
+// elsewhere: it is kept by another service now, from which nothing was heard yet.
+enum class ListKind : std::uint8_t { changes, whole, remembered, failed, elsewhere };
 enum class Ending : std::uint8_t { ok, error, full, timed_out, unreachable, broken, called_off, not_sent };
 
 // Whether an ending proves that the setup never ran.
@@ -119,6 +120,8 @@
 
     // The clock; every other call happens at the time last told.
     virtual void at(Tenths now) = 0;
+    // Other terms from now on: as many nodes and profiles as before, and this node's number among them.
+    virtual void retold(Terms terms) = 0;
     // The list of eps: begin, an entry a call, end.
     virtual void list_begin(ListKind kind) = 0;
     virtual void listed(std::uint32_t ep, std::uint32_t zone, std::uint32_t cell, Life life, double size,
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -108,6 +108,16 @@
         sums_known = peers.size() == 1;
         for (auto& p : peers) p.heard = now;
         ring.build(static_cast<std::uint32_t>(peers.size()));
+        weigh_profiles();
+    }
+    void take_terms(Terms given) {
+        terms = std::move(given);
+        weigh_profiles();
+    }
+    void weigh_profiles() {
+        mean_credit = 0;
+        longest_timeout = 0;
+        quickest_message = never;
         for (const auto& p : terms.profiles) {
             mean_credit += p.credit / static_cast<double>(terms.profiles.size());
             longest_timeout = std::max(longest_timeout, p.client_timeout);
--- a/src/config/launch.cpp
+++ b/src/config/launch.cpp
@@ -96,4 +96,33 @@
     return l;
 }
 
+std::string renew(Launch& now, Launch&& next) {
+    std::string kept;
+    const auto keep = [&](const char* key, bool same) {
+        if (!same) kept.append(kept.empty() ? "" : ", ").append(key);
+        return same;
+    };
+    keep("listen", now.listen == next.listen);
+    keep("peer_listen", now.peer_listen == next.peer_listen);
+    // Tunnels, records and other nodes go by these numbers.
+    const bool alike = keep("balancers", now.terms.nodes == next.terms.nodes) &
+                       keep("me", now.terms.me == next.terms.me) &
+                       keep("zone", now.terms.zone == next.terms.zone && now.zones == next.zones) &
+                       keep("profiles", now.profiles == next.profiles) &
+                       keep("membership_mode", now.terms.must_ask == next.terms.must_ask) &
+                       keep("mode", now.packets_pass == next.packets_pass) &
+                       keep("peers", now.terms.limits.peers == next.terms.limits.peers);
+    if (alike) {
+        next.terms.seed = now.terms.seed;
+        now.terms = next.terms;
+        now.peers = std::move(next.peers);
+        now.peers_all = next.peers_all;
+        now.reports = next.reports;
+        now.connect_timeout = next.connect_timeout;
+    }
+    now.discovery = next.discovery;
+    now.sockets = next.sockets;
+    return kept;
+}
+
 }  // namespace lemonstair::config
--- a/src/config/launch.h
+++ b/src/config/launch.h
@@ -29,4 +29,8 @@
 // Throws json::Malformed, which names the faulty key.
 Launch read_launch(const json::Value& file);
 
+// Takes over what may change while the node serves. What it was started with and cannot change keeps its old
+// value; the names of those keys that the new one has otherwise are given back.
+std::string renew(Launch& now, Launch&& next);
+
 }  // namespace lemonstair::config
--- /dev/null
+++ b/src/config/source.h
@@ -0,0 +1,24 @@
+// The file that holds what a node is told: read at the start, and again when the operators say so.
+#pragma once
+
+#include <string>
+
+#include "config/launch.h"
+#include "json/json.h"
+
+namespace lemonstair::config {
+
+class Source {
+  public:
+    explicit Source(std::string path) : path_(std::move(path)) {}
+    // Throws json::Malformed, which names the file or the faulty key.
+    Launch read();
+    // The list of hosts in the file as last read.
+    json::Value known() const { return file_.root().inner("known"); }
+
+  private:
+    std::string path_, text_;
+    json::Document file_;
+};
+
+}  // namespace lemonstair::config
--- a/src/discovery/hosts.cpp
+++ b/src/discovery/hosts.cpp
@@ -19,7 +19,7 @@
         whole = list.flag("complete");
         if (!list.has("members")) list.fail("members", "is missing");
         // An old list or one heard before holds nothing new; taking it would bring back what is over.
-        if (!remembered && revision <= revision_) {
+        if (!remembered && revision_ && revision <= *revision_) {
             balancer.list_begin(ListKind::changes);
             balancer.list_end();
             return true;
@@ -46,7 +46,7 @@
     });
     balancer.list_end();
     // What a node remembers may lack entries: then the watch begins with the whole list.
-    revision_ = remembered && !whole ? 0 : std::max(revision_, revision);
+    if (!remembered || whole) revision_ = std::max(revision_.value_or(revision), revision);
     return true;
 }
 
--- a/src/discovery/hosts.h
+++ b/src/discovery/hosts.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -27,7 +28,9 @@
 
     // Takes one list or one change of it, and tells the Balancer what it holds. False where it is no list.
     bool take(const json::Value& list, Balancer& balancer, bool remembered);
-    std::uint64_t revision() const { return revision_; }
+    std::uint64_t revision() const { return revision_.value_or(0); }
+    // Another service counts its lists by itself: what it says first is new whatever its number.
+    void forget_revision() { revision_.reset(); }
     std::uint32_t place_of(std::uint32_t ep) const { return by_ep_.find(ep); }
     std::uint32_t place_of(std::string_view id) const;
     const Host& operator[](std::uint32_t place) const { return hosts_[place]; }
@@ -40,7 +43,7 @@
     std::vector<Host> hosts_;
     std::unordered_map<std::string, std::uint32_t> by_id_;
     IdIndex by_ep_;
-    std::uint64_t revision_ = 0;
+    std::optional<std::uint64_t> revision_;
 };
 
 }  // namespace lemonstair::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -26,6 +26,19 @@
     go(Phase::connecting, socket_.open() ? patience_connecting : 0);
 }
 
+bool Watch::move_to(const net::Address& discovery) {
+    if (discovery == discovery_) return false;
+    discovery_ = discovery;
+    hang_up();
+    return true;
+}
+
+void Watch::hang_up() {
+    socket_.close();
+    phase_ = Phase::closed;
+    ++call_;
+}
+
 void Watch::go(Phase to, net::Tenths patience) {
     phase_ = to;
     dead_at_ = loop_.now() + patience;
@@ -84,9 +97,7 @@
 
 void Watch::lose(std::string_view why) {
     log_.info() << "watch on discovery: " << why;
-    socket_.close();
-    phase_ = Phase::closed;
-    ++call_;
+    hang_up();
     hearer_.watch_lost();
 }
 
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -34,6 +34,8 @@
     // Nothing happens where a call is under way or stands.
     void open(std::uint64_t after_revision);
     bool is_open() const { return phase_ != Phase::closed; }
+    // The list is kept elsewhere from now on: a call to the old place is over. False where it is no other.
+    bool move_to(const net::Address& discovery);
 
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
@@ -44,6 +46,7 @@
     void read();
     bool take(std::string_view line);
     void lose(std::string_view why);
+    void hang_up();
     void go(Phase to, net::Tenths patience);
 
     net::Loop& loop_;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -3,12 +3,11 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <string>
+#include <utility>
 
-#include "config/launch.h"
+#include "config/source.h"
 #include "json/json.h"
 #include "log/log.h"
 #include "node/node.h"
@@ -17,12 +16,6 @@
 
 using lemonstair::json::Malformed;
 
-std::string read_file(const char* path) {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) throw Malformed(std::string("NODE_CONFIG: cannot read '").append(path).append("'"));
-    return {std::istreambuf_iterator<char>(file), {}};
-}
-
 lemonstair::log::Level log_level() {
     const char* name = std::getenv("LEMONSTAIR_LOG");
     if (name == nullptr) return lemonstair::log::Level::info;
@@ -36,14 +29,13 @@
 int main(int argc, char** argv) {
     try {
         std::signal(SIGPIPE, SIG_IGN);
+        lemonstair::node::hold_signals();
         const char* path = argc > 1 ? argv[1] : std::getenv("NODE_CONFIG");
         if (path == nullptr) throw Malformed("NODE_CONFIG is not set and no file is named");
         lemonstair::log::Log log(log_level(), 2);
-        const std::string text = read_file(path);
-        lemonstair::json::Document file;
-        if (!file.parse(text)) throw Malformed(std::string(path).append(": not JSON"));
-        const auto root = file.root().told_as("configuration");
-        lemonstair::node::Node node(lemonstair::config::read_launch(root), root.inner("known"), log);
+        lemonstair::config::Source source(path);
+        auto launch = source.read();
+        lemonstair::node::Node node(std::move(launch), source.known(), log, [&] { return source.read(); });
         node.run();
         return 0;
     } catch (const std::exception& e) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,14 +20,17 @@
 
 enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer };
 
-// SIGTERM comes as bytes on a descriptor of the loop: no handler interrupts anything.
-net::Fd signals() {
+sigset_t answered_signals() {
     sigset_t set;
     sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    if (::sigprocmask(SIG_BLOCK, &set, nullptr) != 0)
-        throw std::system_error(errno, std::generic_category(), "sigprocmask");
+    for (const int s : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&set, s);
+    return set;
+}
+
+// They come as bytes on a descriptor of the loop: no handler interrupts anything.
+net::Fd signals() {
+    hold_signals();
+    const sigset_t set = answered_signals();
     net::Fd fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     if (!fd.open()) throw std::system_error(errno, std::generic_category(), "signalfd");
     return fd;
@@ -40,9 +43,16 @@
 
 }  // namespace
 
-Node::Node(config::Launch launch, const json::Value& known, log::Log& log)
+void hold_signals() {
+    const sigset_t set = answered_signals();
+    if (::sigprocmask(SIG_BLOCK, &set, nullptr) != 0)
+        throw std::system_error(errno, std::generic_category(), "sigprocmask");
+}
+
+Node::Node(config::Launch launch, const json::Value& known, log::Log& log, Reread reread)
     : launch_(std::move(launch)),
       log_(log),
+      reread_(std::move(reread)),
       hosts_(launch_.zones, log_),
       stages_(loop_, launch_, hosts_, log_),
       peers_(loop_, launch_,
@@ -51,7 +61,7 @@
              }),
       orders_(loop_, peers_, log_),
       watch_(loop_, stages_.floor.pool, launch_.discovery, *this, log_),
-      prober_(loop_, stages_.floor.pool, hosts_, *this, launch_.reports, launch_.connect_timeout),
+      prober_(loop_, stages_.floor.pool, hosts_, *this, launch_),
       balancer_(Balancer::start(launch_.terms, orders_, loop_.now())),
       rng_(launch_.terms.seed),
       signals_(loop_, signals(), POLLIN, *this, 0) {
@@ -136,10 +146,40 @@
 void Node::ready(std::uint64_t, short) {
     signalfd_siginfo info{};
     while (::read(signals_.fd(), &info, sizeof info) == sizeof info) {
-        if (phase_ != Phase::serving) continue;
-        leaving_since_ = loop_.now();
-        go(Phase::leaving);
+        if (info.ssi_signo == SIGHUP)
+            renew();
+        else
+            leave();
+    }
+}
+
+void Node::leave() {
+    if (phase_ != Phase::serving) return;
+    leaving_since_ = loop_.now();
+    go(Phase::leaving);
+}
+
+// Guards against a new configuration that is faulty, or was caught half written: the old one stays. Discovery
+// that has moved is called at once, whatever failures the old one had, and what it says first is new; until
+// then the last list stands.
+void Node::renew() {
+    std::string kept;
+    try {
+        kept = config::renew(launch_, reread_());
+    } catch (const json::Malformed& e) {
+        log_.error() << "new configuration not taken: " << e.what();
+        return;
     }
+    if (!kept.empty()) log_.error() << "not changed before the next start: " << kept;
+    stages_.floor.mind().retold(launch_.terms);
+    const bool moved = watch_.move_to(launch_.discovery);
+    log_.info() << "configuration read again" << (moved ? ", discovery has moved" : "") << ", room for "
+                << stages_.admit.room();
+    if (moved) hosts_.forget_revision();
+    if (watch_.is_open()) return;
+    failed_calls_ = 0;
+    tell_list(ListKind::elsewhere);
+    if (!launch_.terms.must_ask) watch_.open(hosts_.revision());
 }
 
 void Node::due(std::uint64_t token) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string_view>
@@ -20,9 +21,14 @@
 
 namespace lemonstair::node {
 
+// Keeps the signals that a node answers from ending the process; they wait until a Node reads them.
+void hold_signals();
+
 class Node final : discovery::Hearer, probe::Hearer, net::Waiter {
   public:
-    Node(config::Launch launch, const json::Value& known, log::Log& log);
+    // Reads anew what the node is told; throws json::Malformed, which names the faulty key.
+    using Reread = std::function<config::Launch()>;
+    Node(config::Launch launch, const json::Value& known, log::Log& log, Reread reread);
     // Until the node has left.
     void run();
     // One pass of the loop; false once the node has left.
@@ -35,6 +41,8 @@
     void look_over();
     void tell_list(ListKind kind);  // without entries
     void move_all();
+    void renew();
+    void leave();
 
     bool list_heard(const json::Value& list) override;
     void nothing_new() override;
@@ -45,6 +53,7 @@
 
     config::Launch launch_;
     log::Log& log_;
+    Reread reread_;
     net::Clock clock_;
     net::Loop loop_{clock_};
     discovery::Hosts hosts_;
--- a/src/probe/prober.cpp
+++ b/src/probe/prober.cpp
@@ -66,17 +66,17 @@
     }
     l.socket = net::Socket(loop_, std::move(fd), POLLOUT, *this, token_of(place));
     l.state = State::connecting;
-    set_due(place, loop_.now() + connect_timeout_);
+    set_due(place, loop_.now() + launch_.connect_timeout);
 }
 
 void Prober::ask(std::uint32_t place) {
     Line& l = lines_[place];
-    const std::string_view question = reports_ ? "STATS\r\n" : "PING\r\n";
+    const std::string_view question = launch_.reports ? "STATS\r\n" : "PING\r\n";
     l.state = State::asking;
     if (net::write_some(l.socket.fd(), question).bytes != question.size())
         return lost(place, Ending::unreachable);
     l.socket.wait_for(POLLIN);
-    set_due(place, loop_.now() + answer_timeouts * connect_timeout_);
+    set_due(place, loop_.now() + answer_timeouts * launch_.connect_timeout);
 }
 
 void Prober::close(std::uint32_t place) {
--- a/src/probe/prober.h
+++ b/src/probe/prober.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "balance/balance.h"
+#include "config/launch.h"
 #include "discovery/hosts.h"
 #include "net/buffer_pool.h"
 #include "net/loop.h"
@@ -25,13 +26,12 @@
 class Prober final : public net::Waiter {
   public:
     Prober(net::Loop& loop, net::BufferPool& pool, const discovery::Hosts& hosts, Hearer& hearer,
-           bool reports, Tenths connect_timeout)
+           const config::Launch& launch)
         : loop_(loop),
           pool_(pool),
           hosts_(hosts),
           hearer_(hearer),
-          reports_(reports),
-          connect_timeout_(connect_timeout) {}
+          launch_(launch) {}
     void probe(std::uint32_t ep);
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
@@ -61,8 +61,7 @@
     net::BufferPool& pool_;
     const discovery::Hosts& hosts_;
     Hearer& hearer_;
-    bool reports_;
-    Tenths connect_timeout_;
+    const config::Launch& launch_;
     std::vector<Line> lines_;  // by place of the host
 };
 
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -200,17 +200,18 @@
         std::string mode = "pass";
         int sockets = 256;
         bool probing = false;
+        int log = -1;
     };
     Door a, b, discovery;
     std::string name = Door().name();
-    log::Log log{log::Level::error, -1};
+    log::Log log;
     json::Document file;
     std::string text;
     std::unique_ptr<node::Node> node;
     bool runs = true;
 
     Town() : Town(Terms{}) {}
-    explicit Town(const Terms& t) {
+    explicit Town(const Terms& t) : log(log::Level::error, t.log) {
         text = R"({"name":"n0","listen":")" + name + R"(","discovery":")" + discovery.name() +
                R"(","seed":"8c1f","limits":{"sockets":)" + std::to_string(t.sockets) +
                R"(},"known":{"revision":4,"complete":true,"members":[)" + member("a", a) + "," +
@@ -223,8 +224,11 @@
                R"("profiles":[{"name":"chat","setup_goal":0.3,"client_timeout":3,"credit":1,)" +
                R"("effect":"read_like","stream":true}]}})";
         file.parse(text);
-        node =
-            std::make_unique<node::Node>(config::read_launch(file.root()), file.root().inner("known"), log);
+        node = std::make_unique<node::Node>(config::read_launch(file.root()), file.root().inner("known"), log,
+                                            [this] {
+                                                if (!file.parse(text)) throw json::Malformed("not JSON");
+                                                return config::read_launch(file.root());
+                                            });
     }
     static std::string member(std::string_view id, const Door& at, std::string_view phase = "in_service") {
         return std::string(R"({"id":")").append(id).append(R"(","host_port":")").append(at.name()) +
