Silent clients give way; ids in use and extra commands are turned away; probes take turns

Ruled out: CPU (0.11 of 0.2 cores at most), garbled lines (all refused before).

Now the longest silent client goes at once for each that comes, a first line has 2.5 s, names of open tunnels are kept, whatever begins a command before UP ends the client. Of what a bad client sends on a megabyte is thrown away uncopied, then it waits unread. A host's probe line no longer takes a descriptor each (room() on a fleet of many hosts), and a setup closes a silent client rather than pass the limit.

Three stories, which fail without the change.

--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -27,6 +27,12 @@
 
 bool not_now(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
 
+Transfer received(ssize_t n) {
+    if (n > 0) return {.bytes = static_cast<std::size_t>(n)};
+    if (n == 0) return {.ended = true};
+    return {.error = not_now(errno) ? 0 : errno};
+}
+
 }  // namespace
 
 std::optional<Address> parse_address(std::string_view text) {
@@ -76,11 +82,15 @@
     return error;
 }
 
-Transfer read_some(int fd, std::span<char> into) {
-    const ssize_t n = ::recv(fd, into.data(), into.size(), 0);
-    if (n > 0) return {.bytes = static_cast<std::size_t>(n)};
-    if (n == 0) return {.ended = true};
-    return {.error = not_now(errno) ? 0 : errno};
+Transfer read_some(int fd, std::span<char> into) { return received(::recv(fd, into.data(), into.size(), 0)); }
+
+Transfer peek(int fd, std::span<char> into) {
+    return received(::recv(fd, into.data(), into.size(), MSG_PEEK));
+}
+
+Transfer discard_some(int fd) {
+    std::array<char, 1 << 16> untouched;
+    return received(::recv(fd, untouched.data(), untouched.size(), MSG_TRUNC));
 }
 
 Transfer write_some(int fd, std::string_view text) {
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -43,5 +43,9 @@
 };
 Transfer read_some(int fd, std::span<char> into);
 Transfer write_some(int fd, std::string_view text);
+// The same as read_some, but the bytes stay unread.
+Transfer peek(int fd, std::span<char> into);
+// Reads and throws away what there is, up to a limit, without copying it.
+Transfer discard_some(int fd);
 
 }  // namespace lemonstair::net
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -192,14 +192,14 @@
                 << ", descriptors " << loop_.descriptors() << "; so far taken " << n.taken << ", opened "
                 << n.opened << ", declined " << n.declined << " (" << n.busy
                 << " for want of room), closed with error " << n.failed << ", moved " << n.moved << " ("
-                << n.silent << " off silent hosts)";
+                << n.silent << " off silent hosts), bad clients " << n.bad << ", gave way " << n.gave_way;
 }
 
 void Node::look_over() {
     loop_.at(loop_.now() + look_over_every, *this, look_over_timer);
     stages_.relay.look_over();
     if (phase_ != Phase::leaving || loop_.now() - leaving_since_ < move_after) return;
-    if (stages_.floor.admitted == 0) return go(Phase::left);
+    if (stages_.floor.admitted + stages_.floor.departing == 0) return go(Phase::left);
     // Packets that pass go on through another node: there a move would only break what goes on unbroken.
     if (!launch_.packets_pass) move_all();
 }
--- a/src/probe/prober.cpp
+++ b/src/probe/prober.cpp
@@ -46,11 +46,35 @@
     if (place == discovery::Hosts::none) return;
     if (lines_.size() <= place) lines_.resize(hosts_.size());
     Line& l = lines_[place];
-    if (l.state == State::connecting || l.state == State::asking) return;
+    if (l.state != State::closed && l.state != State::idle) return;
     l.asked_at = loop_.now();
     l.used_before = l.state == State::idle;
     if (l.state == State::idle) return ask(place);
-    connect(place);
+    if (line_left()) return connect(place);
+    l.state = State::waiting;
+    waiting_.push_back(place);
+}
+
+// Guards against more hosts than the node has descriptors for: the line that was used longest ago gives way.
+bool Prober::line_left() {
+    if (open_ < most_lines(lines_.size(), launch_.sockets)) return true;
+    std::uint32_t oldest = discovery::Hosts::none;
+    for (std::uint32_t at = 0; at < lines_.size(); ++at)
+        if (lines_[at].state == State::idle &&
+            (oldest == discovery::Hosts::none || lines_[at].due < lines_[oldest].due))
+            oldest = at;
+    if (oldest == discovery::Hosts::none) return false;
+    close(oldest);
+    return true;
+}
+
+void Prober::next_waiting() {
+    while (!waiting_.empty() && line_left()) {
+        const std::uint32_t place = waiting_.front();
+        waiting_.pop_front();
+        lines_[place].asked_at = loop_.now();
+        connect(place);
+    }
 }
 
 void Prober::set_due(std::uint32_t place, Tenths when) {
@@ -62,9 +86,11 @@
     Line& l = lines_[place];
     net::Fd fd = net::connect_to(hosts_[place].at);
     if (!fd.open()) {
+        l.state = State::closed;
         return found(place, net::own_want(errno) ? Ending::not_sent : Ending::unreachable, {});
     }
     l.socket = net::Socket(loop_, std::move(fd), POLLOUT, *this, token_of(place));
+    ++open_;
     l.state = State::connecting;
     set_due(place, loop_.now() + launch_.connect_timeout);
 }
@@ -81,6 +107,7 @@
 
 void Prober::close(std::uint32_t place) {
     Line& l = lines_[place];
+    if (l.socket.open()) --open_;
     l.socket.close();
     l.answer.give_back();
     ++l.serial;
@@ -142,6 +169,7 @@
 
 void Prober::found(std::uint32_t place, Ending ending, const Report& report) {
     hearer_.probed(hosts_[place].ep, ending, loop_.now() - lines_[place].asked_at, report);
+    next_waiting();
 }
 
 }  // namespace lemonstair::probe
--- a/src/probe/prober.h
+++ b/src/probe/prober.h
@@ -1,7 +1,9 @@
 // Probes of hosts: one connection a host, kept while probes follow one another, asked for its load.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <string_view>
 #include <vector>
 
@@ -27,17 +29,13 @@
   public:
     Prober(net::Loop& loop, net::BufferPool& pool, const discovery::Hosts& hosts, Hearer& hearer,
            const config::Launch& launch)
-        : loop_(loop),
-          pool_(pool),
-          hosts_(hosts),
-          hearer_(hearer),
-          launch_(launch) {}
+        : loop_(loop), pool_(pool), hosts_(hosts), hearer_(hearer), launch_(launch) {}
     void probe(std::uint32_t ep);
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
 
   private:
-    enum class State : std::uint8_t { closed, idle, connecting, asking };
+    enum class State : std::uint8_t { closed, waiting, idle, connecting, asking };
     struct Line {
         net::Socket socket;
         net::Buffer answer;
@@ -56,6 +54,8 @@
     void lost(std::uint32_t place, Ending ending);
     void found(std::uint32_t place, Ending ending, const Report& report);
     void set_due(std::uint32_t place, Tenths when);
+    bool line_left();
+    void next_waiting();
 
     net::Loop& loop_;
     net::BufferPool& pool_;
@@ -63,8 +63,15 @@
     Hearer& hearer_;
     const config::Launch& launch_;
     std::vector<Line> lines_;  // by place of the host
+    std::size_t open_ = 0;
+    std::deque<std::uint32_t> waiting_;  // places, for want of a descriptor
 };
 
+// Of the descriptors granted, those that probes may hold at once: with many hosts the lines take turns.
+constexpr std::size_t most_lines(std::size_t hosts, std::size_t sockets) {
+    return std::min(hosts, std::max<std::size_t>(4, sockets / 8));
+}
+
 // "PONG inflight=7,queue=2": what the names mean goes into the report. False where it is no good answer.
 bool read_pong(std::string_view line, Report& report);
 
--- a/src/tunnel/admit.cpp
+++ b/src/tunnel/admit.cpp
@@ -4,12 +4,14 @@
 
 #include <algorithm>
 
+#include "probe/prober.h"
+
 namespace lemonstair::tunnel {
 
 std::size_t Admit::room() const {
-    const std::size_t kept =
-        spare + floor_.hosts.size() + std::min<std::size_t>(64, floor_.launch.sockets / 8);
-    return floor_.launch.sockets > kept ? (floor_.launch.sockets - kept) / 2 : 1;
+    const std::size_t sockets = floor_.launch.sockets;
+    const std::size_t kept = spare + probe::most_lines(floor_.hosts.size(), sockets) + sockets / 16;
+    return sockets > kept ? (sockets - kept) / 2 : 1;
 }
 
 void Admit::admit(Id id, const Arrival& arrival, std::string_view holder) {
@@ -18,7 +20,8 @@
     t.give_up_at = arrival.give_up_at;
     const bool full = floor_.admitted >= room();
     floor_.go(id, State::deciding);
-    t.client.wait_for(POLLRDHUP);  // its next bytes wait; only its going matters until it is open
+    floor_.names.put(t.name, static_cast<std::uint32_t>(id));
+    t.client.wait_for(POLLIN | POLLRDHUP);  // its next bytes wait, unless they are another command
     if (full) {
         ++floor_.tally.busy;
         return book_.decline(id, 0);
--- a/src/tunnel/admit.h
+++ b/src/tunnel/admit.h
@@ -15,12 +15,11 @@
     void admit(Id id, const Arrival& arrival, std::string_view holder);
     // Tunnels that fit the descriptors granted: two each, beside what the node needs for itself.
     std::size_t room() const;
-    // Descriptors up to which connections are accepted, if only to be told that there is no room.
-    std::size_t door() const { return floor_.launch.sockets - spare; }
+    // Descriptors that are left when no more connections are accepted, if only to be told to go: for what the
+    // node needs beside tunnels, the listener, discovery, the peers, the log and others, and for setups.
+    static constexpr std::size_t spare = 12;
 
   private:
-    // For the listener, discovery, the peers, the log and others; and for those who are told to go.
-    static constexpr std::size_t spare = 12;
     Floor& floor_;
     Route& route_;
     Book& book_;
--- a/src/tunnel/book.cpp
+++ b/src/tunnel/book.cpp
@@ -5,6 +5,9 @@
 
 #include <array>
 #include <charconv>
+#include <utility>
+
+#include "net/sockets.h"
 
 namespace lemonstair::tunnel {
 
@@ -12,6 +15,10 @@
 
 // How long a side may take to end its part after ours.
 constexpr Tenths longest_farewell = 10000;
+// What a side sends after its last words is thrown away up to here; more waits unread until the farewell is
+// over.
+constexpr std::uint32_t most_discarded = 1 << 20;
+constexpr Tenths moment_to_speak = 200, moment_to_end = 2000, moment_to_log = 10000;
 
 }  // namespace
 
@@ -37,17 +44,56 @@
     depart(id);
 }
 
-void Book::client_left(Id id) {
+void Book::tell_left(Id id) {
     Tunnel& t = *floor_.find(id);
-    const State was = t.state;
-    if (t.known) {
-        floor_.mind().client_left(id);
-        if (was == State::connecting || was == State::sending_line || was == State::awaiting_answer)
-            over(id, Ending::called_off);
-    }
+    if (!t.known) return;
+    floor_.mind().client_left(id);
+    if (t.state == State::connecting || t.state == State::sending_line || t.state == State::awaiting_answer)
+        over(id, Ending::called_off);
+    t.known = false;
+}
+
+void Book::client_left(Id id) {
+    tell_left(id);
     drop(id);
 }
 
+void Book::turn_away(Id id) {
+    ++floor_.tally.bad;
+    tell_left(id);
+    close_with_error(id);
+}
+
+// Guards against clients that connect by hundreds and say nothing, or do not go when told to: they must not
+// keep out those that speak, nor hold descriptors that a setup needs.
+bool Book::make_room() {
+    const Tenths now = floor_.loop.now();
+    Id oldest = 0;
+    bool found = false, spoke = true;
+    Tenths since = 0;
+    for (std::uint32_t at = 0; at < floor_.tunnels.places(); ++at) {
+        if (!floor_.tunnels.used(at)) continue;
+        const Tunnel& t = floor_.tunnels[at];
+        const bool speaks = t.state == State::departing;
+        if (t.state != State::taking_in && !(speaks && spoke)) continue;
+        if (now - t.since < (speaks ? moment_to_end : moment_to_speak)) continue;
+        if (found && spoke == speaks && t.since >= since) continue;
+        std::array<char, 1> next{};
+        if (!speaks && net::peek(t.client.fd(), next).bytes > 0) continue;  // it is heard in this pass
+        found = true;
+        spoke = speaks;
+        since = t.since;
+        oldest = floor_.id_of(at);
+    }
+    if (!found) return false;
+    ++floor_.tally.gave_way;
+    if (now - std::exchange(made_room_at_, now) > moment_to_log)
+        floor_.log.info() << "descriptors run short, " << floor_.loop.descriptors() << " in use, "
+                          << floor_.admitted << " tunnels: silent clients give way";
+    drop(oldest);
+    return true;
+}
+
 void Book::over(Id id, Ending ending) {
     Tunnel& t = *floor_.find(id);
     if (!t.known) return;
@@ -77,18 +123,19 @@
 
 void Book::ready(Id id, Side side) {
     Tunnel& t = *floor_.find(id);
-    drain(side == Side::client ? t.client : t.host);
+    drain(t, side == Side::client ? t.client : t.host);
     if (!t.client.open() && !t.host.open()) drop(id);
 }
 
-void Book::drain(net::Socket& socket) {
-    net::Buffer buffer = floor_.pool.take();
-    const auto [at, room] = buffer.room();
-    for (int i = 0; i < 8; ++i) {  // an endless sender has only until the farewell is over
-        const auto got = net::read_some(socket.fd(), {at, room});
-        if (got.ended || got.error != 0) return socket.close();
-        if (got.bytes == 0) return;
-    }
+// Guards against a client that sends on at full speed: its bytes cost no copy, and not more than a part of a
+// second of it is read at all.
+void Book::drain(Tunnel& t, net::Socket& socket) {
+    if (t.discarded >= most_discarded) return socket.close();  // unwatched, so it can only have broken
+    const auto got = net::discard_some(socket.fd());
+    if (got.ended || got.error != 0) return socket.close();
+    t.discarded += static_cast<std::uint32_t>(got.bytes);
+    if (t.discarded >= most_discarded)
+        for (net::Socket* s : {&t.client, &t.host}) s->wait_for(0);
 }
 
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/book.h
+++ b/src/tunnel/book.h
@@ -15,6 +15,11 @@
     void close_with_error(Id id);
     // The client went away while it waited.
     void client_left(Id id);
+    // The client does what no client may while it waits.
+    void turn_away(Id id);
+    // Closes the connection that has carried nothing for longest: one whose client has said nothing yet, else
+    // one that has had its last words. False where there is none that has had a moment to speak or to end.
+    bool make_room();
     // The module hears, once, that an open tunnel is over.
     void over(Id id, Ending ending);
     // Its last bytes are written: ends both sides cleanly, reads what still comes until they are gone.
@@ -28,8 +33,10 @@
 
   private:
     void answer(Id id, std::string_view line);
-    void drain(net::Socket& socket);
+    void drain(Tunnel& t, net::Socket& socket);
+    void tell_left(Id id);
     Floor& floor_;
+    Tenths made_room_at_ = 0;
 };
 
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/floor.cpp
+++ b/src/tunnel/floor.cpp
@@ -28,12 +28,20 @@
 
 void Floor::go(Id id, State to) {
     Tunnel& t = *find(id);
-    const auto counts = [](State s) { return s != State::free && s != State::taking_in; };
+    const auto counts = [](State s) {
+        return s != State::free && s != State::taking_in && s != State::departing;
+    };
     if (!counts(t.state) && counts(to)) ++admitted;
-    if (counts(t.state) && !counts(to)) --admitted;
+    if (counts(t.state) && !counts(to)) {
+        --admitted;
+        if (t.name != 0 && names.find(t.name) == static_cast<std::uint32_t>(id)) names.drop(t.name);
+    }
+    if (t.state == State::departing) --departing;
+    if (to == State::departing) ++departing;
     log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << ": " << name_of(t.state) << " -> "
                 << name_of(to);
     t.state = to;
+    t.since = loop.now();
     if (to != State::free) return;
     --in_hand;
     tunnels.give_back(static_cast<std::uint32_t>(id));
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "balance/balance.h"
+#include "balance/id_index.h"
 #include "balance/slab.h"
 #include "config/launch.h"
 #include "discovery/hosts.h"
@@ -21,7 +22,8 @@
 enum class Side : std::uint8_t { client, host };
 
 struct Tally {
-    std::uint64_t taken = 0, opened = 0, declined = 0, failed = 0, busy = 0, moved = 0, silent = 0;
+    std::uint64_t taken = 0, opened = 0, declined = 0, failed = 0, busy = 0, moved = 0, silent = 0, bad = 0,
+                  gave_way = 0;
 };
 
 struct Floor {
@@ -52,6 +54,8 @@
         t.due = when;
         loop.at(when, waiter, id << 1);
     }
+    // Whether only so many of the descriptors granted are left, those outside the loop among them.
+    bool down_to(std::size_t left) const { return loop.descriptors() + left >= launch.sockets; }
     void go(Id id, State to);
 
     net::Loop& loop;
@@ -62,9 +66,11 @@
     Balancer* balancer = nullptr;
     net::BufferPool pool;
     Slab<Tunnel> tunnels;
+    IdIndex names;  // of the tunnels between admission and their last words: name -> place
     Tally tally;
     std::size_t in_hand = 0;   // tunnels that are not free
-    std::size_t admitted = 0;  // of these, those that are past their first line
+    std::size_t admitted = 0;  // of these, those past their first line and before their last words
+    std::size_t departing = 0;
 };
 
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/opening.cpp
+++ b/src/tunnel/opening.cpp
@@ -59,7 +59,7 @@
             profile_told = it != profiles.end();
             return profile_told;
         }
-        if (name == "d") return read_number(value, wait_ms) && wait_ms >= 0;
+        if (name == "d") return read_number(value, wait_ms) && wait_ms >= 0 && wait_ms <= longest_wait_ms;
         if (name == "g") arrival.group = value;
         if (name == "at") holder = value;
         if (name == "mid") arrival.mid_flow = value == "1";
@@ -67,10 +67,24 @@
         return true;
     });
     if (!listed || !profile_told || wait_ms < 0) return false;
-    arrival.give_up_at = now + static_cast<Tenths>(std::floor(std::min(wait_ms, longest_wait_ms) * 10));
+    arrival.give_up_at = now + static_cast<Tenths>(std::floor(wait_ms * 10));
     return true;
 }
 
+std::string_view opening_id(std::string_view line) {
+    line.remove_prefix(word.size());
+    return cut(line, ' ');
+}
+
+bool begins_command(std::string_view bytes) {
+    if (bytes.empty()) return false;
+    for (const std::string_view command : {word, std::string_view("PING\r\n")}) {
+        const auto n = std::min(bytes.size(), command.size());
+        if (bytes.substr(0, n) == command.substr(0, n)) return true;
+    }
+    return false;
+}
+
 bool write_opening(std::string_view line, Tenths wait, net::Buffer& into) {
     const auto list = line.rfind(' ') + 1;
     auto at = list;
--- a/src/tunnel/opening.h
+++ b/src/tunnel/opening.h
@@ -15,6 +15,12 @@
 bool read_opening(std::string_view line, const std::vector<std::string>& profiles, Tenths now,
                   Arrival& arrival, std::string_view& holder);
 
+// The id that the client gave the tunnel, of a line that can be read.
+std::string_view opening_id(std::string_view line);
+
+// Whether what a client sends begins a command: only its first line may be one.
+bool begins_command(std::string_view bytes);
+
 // The line as it was, but for how long the node will wait; with its end. False where it does not fit.
 bool write_opening(std::string_view line, Tenths wait, net::Buffer& into);
 
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 
 #include "net/lines.h"
@@ -15,6 +16,8 @@
 
 // Between two tries for a tunnel that is open at its host.
 constexpr Tenths standing_pause = 3000;
+// With so few the next may be past the limit: some are not in the loop.
+constexpr std::size_t descriptors_left = 6;
 
 bool begins(std::string_view line, std::string_view word) {
     return line.substr(0, word.size()) == word && (line.size() == word.size() || line[word.size()] == ' ');
@@ -49,9 +52,10 @@
 
 void Send::connect(Id id) {
     Tunnel& t = *floor_.find(id);
+    floor_.go(id, State::connecting);
+    if (floor_.down_to(descriptors_left) && !book_.make_room()) return failed(id, Ending::not_sent);
     net::Fd fd = net::connect_to(floor_.hosts[t.place].at);
     const int error = errno;
-    floor_.go(id, State::connecting);
     if (!fd.open()) {
         // Without a descriptor or a port of its own the node has nothing to hold against the host.
         return failed(id, net::own_want(error) ? Ending::not_sent : Ending::unreachable);
@@ -63,7 +67,9 @@
 void Send::ready(Id id, Side side, short events) {
     Tunnel& t = *floor_.find(id);
     if (side == Side::client) {
-        if ((events & (POLLRDHUP | POLLHUP | POLLERR)) != 0) book_.client_left(id);
+        if ((events & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return book_.client_left(id);
+        if (sends_command(t)) return book_.turn_away(id);
+        t.client.wait_for(POLLRDHUP);  // what it says is for its host
         return;
     }
     if (t.state == State::connecting) {
@@ -104,7 +110,14 @@
     if (got.bytes == room) failed(id, Ending::error);  // a line without end
 }
 
+// Guards against a client that sends commands without waiting for answers: none of them is passed on.
+bool Send::sends_command(const Tunnel& t) const {
+    std::array<char, 8> next{};
+    return begins_command({next.data(), net::peek(t.client.fd(), next).bytes});
+}
+
 void Send::answered(Id id, std::string_view line) {
+    if (sends_command(*floor_.find(id))) return book_.turn_away(id);
     if (begins(line, "UP") || begins(line, "BYE")) return opened(id);
     if (begins(line, "BUSY")) return failed(id, Ending::full);
     if (begins(line, "MOVE")) return failed(id, Ending::called_off);
--- a/src/tunnel/send.h
+++ b/src/tunnel/send.h
@@ -24,6 +24,7 @@
     void write_line(Id id);
     void read_answer(Id id);
     void answered(Id id, std::string_view line);
+    bool sends_command(const Tunnel& t) const;
     void opened(Id id);
     void failed(Id id, Ending ending);
     Floor& floor_;
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -5,6 +5,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
 
 #include "net/lines.h"
@@ -15,7 +16,8 @@
 
 namespace {
 
-constexpr Tenths second = 10000, rest_for = 300, longest_silence = 100000, longest_standing_wait = 400000;
+constexpr Tenths rest_for = 200, longest_silence = 25000, longest_standing_wait = 400000;
+constexpr int most_pings = 16;
 constexpr int accepts_a_pass = 64;
 constexpr std::size_t longest_line = 4096;
 
@@ -27,10 +29,10 @@
 
 void TakeIn::ready(std::uint64_t, short) {
     for (int i = 0; i < accepts_a_pass; ++i) {
-        if (floor_.loop.descriptors() >= admit_.door()) return rest();
+        if (floor_.down_to(Admit::spare) && !book_.make_room()) return rest();
         net::Fd fd(::accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!fd.open()) {
-            if (net::none_left(errno)) rest();
+            if (net::none_left(errno) && !book_.make_room()) rest();
             return;
         }
         const int yes = 1;
@@ -38,6 +40,7 @@
         const Id id = floor_.open(std::move(fd));
         floor_.go(id, State::taking_in);
         floor_.set_due(id, *floor_.find(id), floor_.loop.now() + longest_silence);
+        client_ready(id);  // mostly its line is here already: then it never counts as silent
     }
 }
 
@@ -45,25 +48,13 @@
 void TakeIn::rest() {
     if (resting_) return;
     resting_ = true;
-    floor_.log.error() << "no descriptor for another client, " << floor_.loop.descriptors() << " in use";
-    drop_oldest_silent();
+    if (floor_.loop.now() - rested_at_ > 50 * rest_for)
+        floor_.log.error() << "no descriptor for another client, " << floor_.loop.descriptors() << " in use";
+    rested_at_ = floor_.loop.now();
     listener_.wait_for(0);
     floor_.loop.at(floor_.loop.now() + rest_for, *this, 0);
 }
 
-// Guards against clients that connect and say nothing: they must not keep out those that do.
-void TakeIn::drop_oldest_silent() {
-    Id oldest = 0;
-    Tenths first = floor_.loop.now() + longest_silence - second;
-    for (std::uint32_t at = 0; at < floor_.tunnels.places(); ++at) {
-        if (!floor_.tunnels.used(at) || floor_.tunnels[at].state != State::taking_in) continue;
-        if (floor_.tunnels[at].due >= first) continue;
-        first = floor_.tunnels[at].due;
-        oldest = floor_.id_of(at);
-    }
-    if (floor_.find(oldest) != nullptr && floor_.find(oldest)->state == State::taking_in) book_.drop(oldest);
-}
-
 void TakeIn::due(std::uint64_t) {
     resting_ = false;
     listener_.wait_for(POLLIN);
@@ -83,7 +74,7 @@
         if (!line(id, net::first_line(text))) return;
         t.opening.take(end + 1);
     }
-    if (t.opening.view().size() > longest_line) return book_.close_with_error(id);
+    if (t.opening.view().size() > longest_line) return book_.turn_away(id);
     if (t.opening.empty()) t.opening.give_back();
 }
 
@@ -92,6 +83,7 @@
     Tunnel& t = *floor_.find(id);
     if (text == "PING") {
         constexpr std::string_view pong = "PONG\r\n";
+        if (++t.pings > most_pings) return book_.turn_away(id), false;
         if (net::write_some(t.client.fd(), pong).bytes != pong.size()) return book_.drop(id), false;
         t.due = floor_.loop.now() + longest_silence;
         return true;
@@ -100,9 +92,10 @@
     std::string_view holder;
     const bool good = text.size() <= longest_line &&
                       read_opening(text, floor_.launch.profiles, floor_.loop.now(), arrival, holder);
-    if (!good) {
-        floor_.log.error() << "a client's first line cannot be read";
-        return book_.close_with_error(id), false;
+    if (!good || begins_command(t.opening.view().substr(t.opening.view().find('\n') + 1)) ||
+        !take_name(t, opening_id(text))) {
+        floor_.log.debug() << "a client's first line cannot be taken";
+        return book_.turn_away(id), false;
     }
     if (!holder.empty())
         arrival.give_up_at = std::max(arrival.give_up_at, floor_.loop.now() + longest_standing_wait);
@@ -110,6 +103,17 @@
     return false;
 }
 
+// Guards against a client that gives the id of another's open tunnel: two under one id would be taken for one
+// by their host. One whose client is gone, which this pass has yet to hear, is no longer open.
+bool TakeIn::take_name(Tunnel& t, std::string_view id) {
+    t.name = hash_text(id) | 1;
+    const std::uint32_t at = floor_.names.find(t.name);
+    if (at == IdIndex::none) return true;
+    std::array<char, 1> next{};
+    const auto there = net::peek(floor_.tunnels[at].client.fd(), next);
+    return there.ended || there.error != 0;
+}
+
 void TakeIn::client_due(Id id) {
     Tunnel& t = *floor_.find(id);
     if (floor_.loop.now() >= t.due) return book_.drop(id);
--- a/src/tunnel/take_in.h
+++ b/src/tunnel/take_in.h
@@ -21,13 +21,14 @@
 
   private:
     void rest();
-    void drop_oldest_silent();
+    bool take_name(Tunnel& t, std::string_view id);
     bool line(Id id, std::string_view text);
     Floor& floor_;
     Admit& admit_;
     Book& book_;
     net::Socket listener_;
     bool resting_ = false;
+    Tenths rested_at_ = 0;
 };
 
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -37,14 +37,18 @@
 
 struct Tunnel {
     net::Socket client, host;
-    net::Buffer opening;  // the client's first line, and what came behind it, until the host's UP
-    Direction up, down;   // client to host; host to client
+    net::Buffer opening;     // the client's first line, and what came behind it, until the host's UP
+    Direction up, down;      // client to host; host to client
+    std::uint64_t name = 0;  // the hash of the id that its client gave it
     Tenths give_up_at = 0, setup_from = 0, setup_until = 0;
-    Tenths due = 0;            // when the state it is in has lasted too long
-    Tenths waiting_since = 0;  // for a line from the host; 0: none is owed
-    std::uint32_t place = 0;   // of the host that it is set up at
-    std::uint32_t owed = 0;    // client lines that no line from the host has followed
+    Tenths since = 0;             // when it came to the state it is in
+    Tenths due = 0;               // when the state it is in has lasted too long
+    Tenths waiting_since = 0;     // for a line from the host; 0: none is owed
+    std::uint32_t place = 0;      // of the host that it is set up at
+    std::uint32_t owed = 0;       // client lines that no line from the host has followed
+    std::uint32_t discarded = 0;  // bytes that came after its last words
     int setups = 0;
+    int pings = 0;
     std::array<char, 32> head{};  // the beginning of the host's line at hand
     std::uint8_t head_size = 0;
     State state = State::free;
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -209,6 +209,7 @@
     std::string text;
     std::unique_ptr<node::Node> node;
     bool runs = true;
+    int lines = 0;
 
     Town() : Town(Terms{}) {}
     explicit Town(const Terms& t) : log(log::Level::error, t.log) {
@@ -268,9 +269,11 @@
         });
         return e;
     }
+    // A first line with an id of its own.
+    std::string line() { return "OPEN " + std::to_string(++lines) + " k c=chat,d=2000\r\n"; }
     // A client and its host's end, with the tunnel open between them.
-    std::pair<End, End> opened(std::string_view line = "OPEN 1 k c=chat,d=2000\r\n") {
-        End c = client(line), h = setup();
+    std::pair<End, End> opened() {
+        End c = client(line()), h = setup();
         h.say("UP r\r\n");
         until([&] { return c.heard("UP r\r\n"); });
         c.got.clear();
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -44,7 +44,7 @@
     Town town;
     town.a.fd.close();
     for (int i = 0; i < 6; ++i) {
-        End c = town.client("OPEN 1 k c=chat,d=2000\r\n");
+        End c = town.client(town.line());
         End h = town.setup();
         h.say("UP r\r\n");
         CHECK(town.until([&] { return c.heard("UP r\r\n"); }));
@@ -53,7 +53,7 @@
 
 TEST_CASE("a silent setup is given up and its connection closed before the next goes out") {
     Town town;
-    End c = town.client("OPEN 1 k c=chat,d=2000\r\n");
+    End c = town.client(town.line());
     const Door *first = nullptr, *second = nullptr;
     End h1 = town.setup(&first), h2 = town.setup(&second);
     CHECK(first != second);
@@ -75,7 +75,7 @@
 
 TEST_CASE("a client that leaves while it waits ends its setup") {
     Town town;
-    End c = town.client("OPEN 1 k c=chat,d=2000\r\n");
+    End c = town.client(town.line());
     End h = town.setup();
     c.fd.close();
     CHECK(town.until([&] { return h.over(); }));
@@ -190,7 +190,7 @@
     std::vector<std::pair<End, End>> open;
     End refused;
     for (int i = 0; i < 40 && !refused.heard("BUSY\r\n"); ++i) {
-        refused = town.client("OPEN 1 k c=chat,d=2000\r\n");
+        refused = town.client(town.line());
         End h = town.setup();
         h.say("UP r\r\n");
         town.until([&] { return refused.heard("\r\n"); });
@@ -203,17 +203,64 @@
     CHECK(town.opened().first.fd.open());
 }
 
-TEST_CASE("clients that connect and say nothing do not keep out those that do") {
+TEST_CASE("clients that say nothing, or ask once and stay, give way to those that speak, and go within 3 s") {
     Town town({.mode = "pass", .sockets = 40, .probing = false});
     std::vector<End> silent;
-    for (int i = 0; i < 60; ++i) silent.push_back(town.client());
-    town.pass(1200);
-    CHECK(town.until([&] { return silent[0].over(); }));
-    End c = town.client("OPEN 1 k c=chat,d=3000\r\n");
-    silent.resize(20);
-    End h = town.setup();
+    for (int i = 0; i < 60; ++i) {
+        silent.push_back(town.client(i % 3 == 0 ? "PING\r\n" : i % 3 == 1 ? "OPEN 7" : ""));
+        if (i % 20 == 19) town.pass(30);
+    }
+    for (int i = 0; i < 3; ++i) {
+        auto t = std::chrono::steady_clock::now();
+        CHECK(town.opened().first.fd.open());
+        CHECK(std::chrono::steady_clock::now() - t < std::chrono::milliseconds(200));
+    }
+    CHECK(town.until(
+        [&] { return std::all_of(silent.begin(), silent.end(), [](End& e) { return e.over(); }); }));
+}
+
+TEST_CASE("a client that sends on after its bad line, or reconnects with it, has its ERR and costs little") {
+    Town town({.mode = "pass", .sockets = 256, .probing = false});
+    End rude = town.client("frob\r\n");
+    const std::string more(1 << 16, 'x');
+    std::size_t sent = 0;
+    CHECK(town.until([&] {
+        const auto r = net::write_some(rude.fd.get(), more);
+        sent += r.bytes;
+        return rude.heard("ERR\r\n") && rude.ended;
+    }));
+    CHECK(town.until([&] { return net::write_some(rude.fd.get(), more).error != 0; }, 2000));
+    CHECK(sent < (16 << 20));
+    std::vector<End> rest;
+    for (int i = 0; i < 300; ++i) rest.push_back(town.client("frob\r\n"));
+    CHECK(town.opened().first.fd.open());
+    CHECK(town.until([&] { return std::all_of(rest.begin(), rest.end(), [](End& e) { return e.over(); }); }));
+}
+
+TEST_CASE(
+    "commands behind a first line, or the id of another's open tunnel, are neither passed on nor served") {
+    Town town;
+    const std::string line = town.line();
+    End c = town.client(line), h = town.setup();
     h.say("UP r\r\n");
-    CHECK(town.until([&] { return c.heard("UP r\r\n"); }));
+    REQUIRE(town.until([&] { return c.heard("UP r\r\n"); }));
+    const auto nothing_at_hosts = [&] { return !town.a.accept().fd.open() && !town.b.accept().fd.open(); };
+    End twin = town.client(line), many = town.client(town.line() + town.line());
+    End pings = town.client();
+    for (int i = 0; i < 100; ++i) pings.say("PING\r\n");
+    CHECK(town.until([&] { return twin.over() && many.over() && pings.over(); }));
+    CHECK(twin.got == "ERR\r\n");
+    CHECK(many.got == "ERR\r\n");
+    CHECK(nothing_at_hosts());
+    End late = town.client(town.line()), out = town.setup();
+    late.say("OPEN 2 k c=chat,d=9\r\n");
+    CHECK(town.until([&] { return late.over() && out.over(); }));
+    CHECK(late.got == "ERR\r\n");
+    CHECK(nothing_at_hosts());
+    c.cut();  // an id is free again when its client is gone, though the node has yet to hear of that
+    End again = town.client(line);
+    town.setup().say("UP r\r\n");
+    CHECK(town.until([&] { return again.heard("UP r\r\n"); }));
 }
 
 TEST_CASE("with no descriptor left the node neither spins nor ends, and goes on when there are some") {
@@ -229,7 +276,7 @@
     town.until([&] { return ++turns, false; }, 300);
     ::setrlimit(RLIMIT_NOFILE, &was);
     CHECK(turns < 60);
-    c.say("OPEN 1 k c=chat,d=2000\r\n");
+    c.say(town.line());
     End h = town.setup();
     h.say("UP r\r\n");
     CHECK(town.until([&] { return c.heard("UP r\r\n"); }));
@@ -241,7 +288,9 @@
     const std::string endless(9000, 'x');
     for (const std::string& bad :
          {endless, std::string("OPEN\r\n"), std::string("OPEN 1 k c=no,d=5\r\n"),
-          std::string("OPEN 1 k c=chat,d=-1\r\n"), std::string("OPEN 1 k c=chat,d=1e400\r\n"),
+          std::string("OPEN 1 k c=chat,d=-1\r\n"), std::string("OPEN 1 k c=chat,d=99999999999999999999\r\n"),
+          std::string("OPEN 1 k c=chat,d=soon\r\n"), std::string("OPEN 1 k c=chat,d=\r\n"),
+          std::string("OPEN  k c=chat,d=5\r\n"), std::string("OPEN k c=chat,d=5\r\n"),
           std::string("OPEN 1 k\x01 c=chat,d=5\r\n"), std::string("\0\xff\r\n", 4)}) {
         End e = town.client(bad);
         CHECK(town.until([&] { return e.over(); }));
@@ -250,7 +299,7 @@
     End cut = town.client("OPEN 1 k c=ch");
     cut.finish();
     CHECK(town.until([&] { return cut.over(); }));
-    End c2 = town.client("OPEN 1 k c=chat,d=2000\r\n");
+    End c2 = town.client(town.line());
     town.setup().say(endless);  // a host's answer without end is no answer: another host is asked
     End h2 = town.setup();
     h2.say("UP r\r\n");
@@ -294,7 +343,8 @@
 
 const std::string good_answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-TEST_CASE("on SIGHUP a node calls the new discovery at once, whose lists count from the start, and serves on") {
+TEST_CASE(
+    "on SIGHUP a node calls the new discovery at once, whose lists count from the start, and serves on") {
     for (const bool leaving : {false, true}) {
         Town town({.mode = "pass", .sockets = 256, .probing = false});
         auto [c, h] = town.opened();
@@ -313,9 +363,9 @@
                 return watch.fd.open() && watch.heard("index=0 ");
             },
             150));
-        watch.say(good_answer + chunk(R"({"revision":0,"complete":true,"members":[)" +
-                                      Town::member("a", town.a, "terminating") + "," +
-                                      Town::member("b", town.b) + "]}"));
+        watch.say(good_answer +
+                  chunk(R"({"revision":0,"complete":true,"members":[)" +
+                        Town::member("a", town.a, "terminating") + "," + Town::member("b", town.b) + "]}"));
         town.pass(50);
         for (int i = 0; i < 8; ++i) {
             End c2 = town.client("OPEN 1" + std::to_string(i) + " k c=chat,d=2000\r\n");
@@ -371,7 +421,7 @@
                     Town::member("a", town.a, "terminating") + "]}"));
     town.pass(50);
     for (int i = 0; i < 8; ++i) {
-        End c = town.client("OPEN 1 k c=chat,d=2000\r\n");
+        End c = town.client(town.line());
         const Door* at = nullptr;
         End h = town.setup(&at);
         CHECK(at == &town.b);
