An id of a tunnel that was open lately is refused like that of an open one

Now the last 1024 names of tunnels that were open are remembered, and only mid-flow arrivals may come under one.

--- a/src/tunnel/floor.cpp
+++ b/src/tunnel/floor.cpp
@@ -26,6 +26,17 @@
     return "";
 }
 
+// An id is new with every connection: one that was open lately is remembered, so that nobody opens it again.
+void Floor::let_go(Tunnel& t, std::uint32_t place) {
+    if (names.find(t.name) != place) return;
+    names.drop(t.name);
+    if (t.state != State::relaying && t.state != State::moving) return;
+    std::uint64_t& oldest = spent_names_[next_spent_++ % spent_names_.size()];
+    if (oldest != 0 && names.find(oldest) == spent) names.drop(oldest);
+    oldest = t.name;
+    names.put(t.name, spent);
+}
+
 void Floor::go(Id id, State to) {
     Tunnel& t = *find(id);
     const auto counts = [](State s) {
@@ -34,7 +45,7 @@
     if (!counts(t.state) && counts(to)) ++admitted;
     if (counts(t.state) && !counts(to)) {
         --admitted;
-        if (t.name != 0 && names.find(t.name) == static_cast<std::uint32_t>(id)) names.drop(t.name);
+        let_go(t, static_cast<std::uint32_t>(id));
     }
     if (t.state == State::departing) --departing;
     if (to == State::departing) ++departing;
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -2,6 +2,7 @@
 // the one function through which every change of a tunnel's state goes.
 #pragma once
 
+#include <array>
 #include <cstdint>
 
 #include "balance/balance.h"
@@ -66,11 +67,19 @@
     Balancer* balancer = nullptr;
     net::BufferPool pool;
     Slab<Tunnel> tunnels;
-    IdIndex names;  // of the tunnels between admission and their last words: name -> place
+    // Of the tunnels between admission and their last words: name -> place; of those that were open lately:
+    // spent.
+    static constexpr std::uint32_t spent = IdIndex::none - 1;
+    IdIndex names;
     Tally tally;
     std::size_t in_hand = 0;   // tunnels that are not free
     std::size_t admitted = 0;  // of these, those past their first line and before their last words
     std::size_t departing = 0;
+
+  private:
+    void let_go(Tunnel& t, std::uint32_t place);
+    std::array<std::uint64_t, 1024> spent_names_{};
+    std::size_t next_spent_ = 0;
 };
 
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -93,7 +93,7 @@
     const bool good = text.size() <= longest_line &&
                       read_opening(text, floor_.launch.profiles, floor_.loop.now(), arrival, holder);
     if (!good || begins_command(t.opening.view().substr(t.opening.view().find('\n') + 1)) ||
-        !take_name(t, opening_id(text))) {
+        !take_name(t, opening_id(text), arrival.mid_flow)) {
         floor_.log.debug() << "a client's first line cannot be taken";
         return book_.turn_away(id), false;
     }
@@ -103,12 +103,14 @@
     return false;
 }
 
-// Guards against a client that gives the id of another's open tunnel: two under one id would be taken for one
-// by their host. One whose client is gone, which this pass has yet to hear, is no longer open.
-bool TakeIn::take_name(Tunnel& t, std::string_view id) {
+// Guards against a client that gives the id of another's tunnel that is open or was lately: its host would
+// take both for one. Only packets that come back mid-flow go on under an id known here; and a tunnel whose
+// client is gone, which this pass has yet to hear, is no longer open.
+bool TakeIn::take_name(Tunnel& t, std::string_view id, bool mid_flow) {
     t.name = hash_text(id) | 1;
     const std::uint32_t at = floor_.names.find(t.name);
     if (at == IdIndex::none) return true;
+    if (!mid_flow || at == Floor::spent) return mid_flow;
     std::array<char, 1> next{};
     const auto there = net::peek(floor_.tunnels[at].client.fd(), next);
     return there.ended || there.error != 0;
--- a/src/tunnel/take_in.h
+++ b/src/tunnel/take_in.h
@@ -21,7 +21,7 @@
 
   private:
     void rest();
-    bool take_name(Tunnel& t, std::string_view id);
+    bool take_name(Tunnel& t, std::string_view id, bool mid_flow);
     bool line(Id id, std::string_view text);
     Floor& floor_;
     Admit& admit_;
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -257,10 +257,19 @@
     CHECK(town.until([&] { return late.over() && out.over(); }));
     CHECK(late.got == "ERR\r\n");
     CHECK(nothing_at_hosts());
-    c.cut();  // an id is free again when its client is gone, though the node has yet to hear of that
+    c.cut();  // an id is spent with its tunnel; only packets that come back mid-flow go on under it
     End again = town.client(line);
+    CHECK(town.until([&] { return again.over(); }));
+    CHECK(again.got == "ERR\r\n");
+    CHECK(nothing_at_hosts());
+    End back = town.client(line.substr(0, line.size() - 2) + ",mid=1\r\n");
+    End h2 = town.setup();
+    h2.say("UP r\r\n");
+    CHECK(town.until([&] { return back.heard("UP r\r\n"); }));
+    back.cut();  // nor does it matter that the node has yet to hear that they went elsewhere before
+    back = town.client(line.substr(0, line.size() - 2) + ",mid=1\r\n");
     town.setup().say("UP r\r\n");
-    CHECK(town.until([&] { return again.heard("UP r\r\n"); }));
+    CHECK(town.until([&] { return back.heard("UP r\r\n"); }));
 }
 
 TEST_CASE("with no descriptor left the node neither spins nor ends, and goes on when there are some") {
