A silent tunnel is found from its last line on; setups that reach no host leave the gate open

With lines logged: last line back at 4.77 s, first unanswered one at 6.77, fault at 11.97. relay.cpp counted its 6 s from the first unanswered line, the protocol from the last answer. Now 6 s from the last line, of which one is owed for 3.

A refused connection got no further than the door and tells nothing of a jam, so balance.cpp's ended() no longer counts it.

Also mends a story that used one id again and again and fails since ids are spent.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -792,7 +792,7 @@
         Tun& t = tuns[at];
         if (t.state == State::setting_up) {
             judged(eps[t.ep], ending);
-            ++ended_lately;
+            if (ending != Ending::unreachable) ++ended_lately;  // that one did not get as far as a jam
             if (ending == Ending::ok) ++opened_lately;
         }
         if (t.state == State::standing && ending == Ending::ok) ++ends;
--- a/src/tunnel/relay.cpp
+++ b/src/tunnel/relay.cpp
@@ -15,9 +15,10 @@
 namespace {
 
 constexpr std::string_view move_line = "MOVE\r\n";
-// Clients send a line every few seconds, and a sound host answers at once: one that owes a line for this long
-// will not bring it. Long before that the module hears of a host from which no tunnel has had a line.
-constexpr Tenths silent_after = 60000, unheard_after = 5000;
+// Clients send a line every few seconds, and a sound host answers at once: a tunnel that has had none for
+// this long, and is owed one for half of it, will not have it. Long before that the module hears of a host
+// from which no tunnel has had a line.
+constexpr Tenths silent_after = 60000, owed_for = 30000, unheard_after = 5000;
 constexpr Tenths told_every = 10000;
 // When a host or a client has ended, the other side gets this long to take the last bytes and end too.
 constexpr Tenths longest_ending = 8000, longest_parting = 30000;
@@ -45,6 +46,7 @@
 void Relay::begin(Id id) {
     Tunnel& t = *floor_.find(id);
     floor_.go(id, State::relaying);
+    t.heard_at = floor_.loop.now();
     const auto answer = t.down.waiting.view();
     if (const auto more = answer.substr(answer.find('\n') + 1); !more.empty()) host_bytes(id, more);
     if (t.opening.held()) {
@@ -148,7 +150,8 @@
             floor_.mind().load_changed(id, load / 1e6);
         return;
     }
-    spoken(t.place).heard_at = floor_.loop.now();  // a load is told by hosts that answer nothing, too
+    t.heard_at = spoken(t.place).heard_at =
+        floor_.loop.now();  // a load is told by hosts that answer nothing, too
     if (line == "BYE" || line.substr(0, 4) == "BYE ") t.ending = Ending::ok;
     if (line == "MOVE") t.ending = Ending::called_off;
     answered(id, t);
@@ -248,20 +251,28 @@
 // a host that owes lines and has sent none on any tunnel; a tunnel that waited long enough is broken, and its
 // client moved.
 void Relay::look_over() {
-    unheard_.assign(floor_.hosts.size(), 0);
+    unheard_.assign(floor_.hosts.size(), {});
     silent_.clear();
     for (std::uint32_t at = 0; at < floor_.tunnels.places(); ++at) {
         if (!floor_.tunnels.used(at)) continue;
         const Tunnel& t = floor_.tunnels[at];
-        if (t.state != State::relaying || t.owed == 0 || t.up.ended || t.down.ended) continue;
-        if (!t.down.waiting.empty()) continue;  // its client takes nothing: the host is not to blame
+        if (t.state != State::relaying || t.up.ended || t.down.ended) continue;
+        Unheard& host = unheard_[t.place];
+        ++host.tunnels;
+        if (t.owed == 0 || !t.down.waiting.empty())
+            continue;  // its client takes nothing: no fault of the host
         const Tenths age = floor_.loop.now() - t.waiting_since;
-        if (age >= silent_after) silent_.push_back(floor_.id_of(at));
-        const Tenths quiet = std::min(age, floor_.loop.now() - spoken(t.place).heard_at);
-        unheard_[t.place] = std::max(unheard_[t.place], quiet);
+        if (age >= owed_for && floor_.loop.now() - t.heard_at >= silent_after)
+            silent_.push_back(floor_.id_of(at));
+        if (spoken(t.place).heard_at > t.waiting_since) continue;
+        host.second = std::max(host.second, std::min(host.longest, age));
+        host.longest = std::max(host.longest, age);
+    }
+    // One tunnel that has stopped is not its host: where there are others, two must have waited.
+    for (std::uint32_t place = 0; place < unheard_.size(); ++place) {
+        const Tenths span = unheard_[place].tunnels == 1 ? unheard_[place].longest : unheard_[place].second;
+        if (span >= unheard_after) floor_.mind().unheard(floor_.hosts[place].ep, span);
     }
-    for (std::uint32_t place = 0; place < unheard_.size(); ++place)
-        if (unheard_[place] >= unheard_after) floor_.mind().unheard(floor_.hosts[place].ep, unheard_[place]);
     for (const Id id : silent_) {
         Tunnel* t = floor_.find(id);
         if (t == nullptr || t->state != State::relaying) continue;
--- a/src/tunnel/relay.h
+++ b/src/tunnel/relay.h
@@ -43,8 +43,13 @@
     }
     Floor& floor_;
     Book& book_;
-    std::vector<Spoken> spoken_;   // by place of the host
-    std::vector<Tenths> unheard_;  // by place of the host
+    std::vector<Spoken> spoken_;  // by place of the host
+    // How long the two tunnels of a host that wait longest have waited, with no line on any since.
+    struct Unheard {
+        Tenths longest = 0, second = 0;
+        int tunnels = 0;
+    };
+    std::vector<Unheard> unheard_;  // by place of the host
     std::vector<Id> silent_;
     Tenths slow_from_ = 10000;  // a message that takes longer is told: a third of the shortest goal
 };
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -43,6 +43,7 @@
     Tenths give_up_at = 0, setup_from = 0, setup_until = 0;
     Tenths since = 0;             // when it came to the state it is in
     Tenths due = 0;               // when the state it is in has lasted too long
+    Tenths heard_at = 0;          // the last line from the host, but for its load
     Tenths waiting_since = 0;     // for a line from the host; 0: none is owed
     std::uint32_t place = 0;      // of the host that it is set up at
     std::uint32_t owed = 0;       // client lines that no line from the host has followed
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -27,9 +27,10 @@
 }
 
 TEST_CASE("a first line may come cut at any byte") {
-    const std::string line = "PING\r\nOPEN 1 k c=chat,d=900\r\n";
     Town town;
-    for (std::size_t at = 1; at < line.size(); ++at) {
+    for (std::size_t at = 1, size = 99; at < size; ++at) {
+        const std::string line = "PING\r\n" + town.line();
+        size = line.size();
         End c = town.client(line.substr(0, at));
         town.pass(1);
         c.say(line.substr(at));
@@ -185,6 +186,24 @@
     CHECK(!well.over());
 }
 
+TEST_CASE(
+    "a tunnel that falls silent between lines is moved within 7 s of the last, not of the first unanswered") {
+    Town town;
+    town.b.fd.close();
+    auto [c, h] = town.opened();
+    auto [well, host] = town.opened();
+    const auto begin = std::chrono::steady_clock::now();
+    for (int ms = 0; ms < 6800 && !c.over(); ms += 100) {  // the other goes on: the host is not to blame
+        if (ms % 2000 == 1900) c.say("hello\r\n");
+        if (ms % 2000 == 900) well.say("line\r\n");
+        if (ms % 2000 == 1000) host.say("line\r\n");
+        town.until([&] { return c.over(); }, 100);
+    }
+    CHECK(c.got == "MOVE\r\n");
+    CHECK(std::chrono::steady_clock::now() - begin > std::chrono::milliseconds(5800));
+    CHECK(!well.over());
+}
+
 TEST_CASE("past its descriptors the node says BUSY, and takes clients again when some have left") {
     Town town({.mode = "pass", .sockets = 40, .probing = false});
     std::vector<std::pair<End, End>> open;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -639,3 +639,14 @@
     CHECK(first >= 1);
     CHECK(first <= 15);
 }
+
+TEST_CASE("two hosts that refuse all connections at once do not shut the gate for those who reach others") {
+    Node n;
+    n.list({1, 2, 3, 4, 5});
+    for (std::uint64_t t = 1; t <= 30; ++t) n.arrive(t);
+    const auto out = n.sent;
+    for (const auto& s : out)
+        if (s.ep <= 2) n.b->ended(s.tun, 0, s.ep, Ending::unreachable, 1 * ms, false);
+    CHECK(n.sent.size() > 35);  // the seed spreads them over all five
+    CHECK(n.declined.empty());
+}
