--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -57,6 +57,7 @@
     }
     // Whether only so many of the descriptors granted are left, those outside the loop among them.
     bool down_to(std::size_t left) const { return loop.descriptors() + left >= launch.sockets; }
+    std::size_t taking_in() const { return in_hand - admitted - departing; }
     void go(Id id, State to);
 
     net::Loop& loop;
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -5,6 +5,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -16,7 +17,8 @@
 
 namespace {
 
-constexpr Tenths rest_for = 200, longest_silence = 25000, longest_standing_wait = 400000;
+constexpr Tenths rest_for = 200, longest_silence = 25000, silence_after_pong = 10000,
+                 longest_standing_wait = 400000;
 constexpr int most_pings = 16;
 constexpr int accepts_a_pass = 64;
 constexpr std::size_t longest_line = 4096;
@@ -29,7 +31,11 @@
 
 void TakeIn::ready(std::uint64_t, short) {
     for (int i = 0; i < accepts_a_pass; ++i) {
-        if (floor_.down_to(Admit::spare) && !book_.make_room()) return rest();
+        // Each pass of the loop costs as much as there are connections: the silent have a part of them at
+        // most.
+        const bool crowded = floor_.taking_in() > floor_.launch.sockets / 4;
+        if ((crowded || floor_.down_to(Admit::spare)) && !book_.make_room() && floor_.down_to(Admit::spare))
+            return rest();
         net::Fd fd(::accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!fd.open()) {
             if (net::none_left(errno) && !book_.make_room()) rest();
@@ -85,7 +91,9 @@
         constexpr std::string_view pong = "PONG\r\n";
         if (++t.pings > most_pings) return book_.turn_away(id), false;
         if (net::write_some(t.client.fd(), pong).bytes != pong.size()) return book_.drop(id), false;
-        t.due = floor_.loop.now() + longest_silence;
+        // Who asks and stays has what it came for: by thousands they would make each pass of the loop dear.
+        t.due = std::min(t.due, floor_.loop.now() + silence_after_pong);
+        floor_.set_due(id, t, t.due);
         return true;
     }
     Arrival arrival;
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -238,6 +238,26 @@
         [&] { return std::all_of(silent.begin(), silent.end(), [](End& e) { return e.over(); }); }));
 }
 
+TEST_CASE("silent clients hold a quarter of the descriptors at most, however many come") {
+    Town town({.mode = "pass", .sockets = 200, .probing = false});
+    std::vector<End> silent;
+    for (int i = 0; i < 150; ++i) {
+        silent.push_back(town.client());
+        if (i % 10 == 9) town.pass(25);
+    }
+    town.pass(25);
+    CHECK(std::count_if(silent.begin(), silent.end(), [](End& e) { return !e.over(); }) < 65);
+    CHECK(!silent.back().over());
+}
+
+TEST_CASE("a client that asks whether the node is ready and stays is let go within a second or so") {
+    Town town;
+    End c = town.client("PING\r\n"), slow = town.client();
+    CHECK(town.until([&] { return c.over(); }, 1300));
+    CHECK(c.got == "PONG\r\n");
+    CHECK(!slow.over());
+}
+
 TEST_CASE("a client that sends on after its bad line, or reconnects with it, has its ERR and costs little") {
     Town town({.mode = "pass", .sockets = 256, .probing = false});
     End rude = town.client("frob\r\n");
