--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -880,7 +880,7 @@
         if (x == e.last_report || !sums_known) return;  // not yet refreshed
         e.last_report = x;
         const double load = asked(e);
-        if (x < 0.1 || load < 2 * mean_load()) return;  // too little to tell what it can do
+        if (x < 0.1 || load < 2 * mean_load() || any_load.count < few_loads) return;  // too little
         const double seen = load / x / warmth(e);
         e.room = e.room > 0 ? e.room + (seen - e.room) * 0.4 : seen;
     }
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -22,6 +22,7 @@
 constexpr Tenths never = std::numeric_limits<Tenths>::max() / 4;
 constexpr std::uint32_t none = IdIndex::none;
 constexpr std::size_t chain_length = 2;
+constexpr int few_loads = 8;  // fewer tell little of what tunnels weigh
 
 enum class State : std::uint8_t { idle, looking_up, holding, setting_up, standing, leaving, answered };
 
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -650,3 +650,19 @@
     CHECK(n.sent.size() > 35);  // the seed spreads them over all five
     CHECK(n.declined.empty());
 }
+
+TEST_CASE("what an ep can do is not learned from the first few loads told, which may be tiny") {
+    Node n;
+    n.list({7, 8});
+    for (std::uint64_t t = 1; t <= 6; ++t) n.arrive(t), n.open(t);
+    for (std::uint64_t t = 1; t <= 6; ++t) n.b->load_changed(t, 0.001);
+    for (const double load : {0.3, 0.31, 0.32}) {
+        n.pass(2 * s);
+        n.answer_probes(load);
+    }
+    n.b->load_changed(1, 0.5);
+    n.b->load_changed(2, 0.5);
+    n.arrive(20);
+    CHECK(n.declined.empty());
+    CHECK(n.setups_of(20) == 1);
+}
