The stage that has a tunnel is named in one place, for events and for timers

Found on reading the change again, behaviour as before: - stages.h wrote the table from state to stage twice, once for events and once for timers: at_stage serves both, and the stages answer to the same two names. - A first line's wait is only ever shortened since PONG lowers it, so TakeIn's timer need not look whether to start anew, and a second PING starts no further timer. - Two comments in relay.cpp stood behind the wrong words.

--- a/src/tunnel/book.cpp
+++ b/src/tunnel/book.cpp
@@ -121,7 +121,7 @@
 
 void Book::drop(Id id) { floor_.go(id, State::free); }
 
-void Book::ready(Id id, Side side) {
+void Book::tunnel_ready(Id id, Side side, short) {
     Tunnel& t = *floor_.find(id);
     drain(t, side == Side::client ? t.client : t.host);
     if (!t.client.open() && !t.host.open()) drop(id);
--- a/src/tunnel/book.h
+++ b/src/tunnel/book.h
@@ -26,8 +26,8 @@
     void depart(Id id);
     // Both sides are dropped at once.
     void drop(Id id);
-    void ready(Id id, Side side);
-    void due(Id id) {
+    void tunnel_ready(Id id, Side side, short events);
+    void tunnel_due(Id id) {
         if (floor_.loop.now() >= floor_.find(id)->due) drop(id);
     }
 
--- a/src/tunnel/relay.cpp
+++ b/src/tunnel/relay.cpp
@@ -57,7 +57,7 @@
     if (write(id, Side::client) && write(id, Side::host)) settle(id);
 }
 
-void Relay::ready(Id id, Side side, short events) {
+void Relay::tunnel_ready(Id id, Side side, short events) {
     Tunnel& t = *floor_.find(id);
     if ((events & POLLOUT) != 0 && !write(id, side)) return;
     if ((events & (POLLIN | POLLHUP | POLLERR)) != 0 && !out_of(t, side).ended && !read(id, side)) return;
@@ -150,8 +150,8 @@
             floor_.mind().load_changed(id, load / 1e6);
         return;
     }
-    t.heard_at = spoken(t.place).heard_at =
-        floor_.loop.now();  // a load is told by hosts that answer nothing, too
+    // A load is told by hosts that answer nothing, too, so it is not counted as heard.
+    t.heard_at = spoken(t.place).heard_at = floor_.loop.now();
     if (line == "BYE" || line.substr(0, 4) == "BYE ") t.ending = Ending::ok;
     if (line == "MOVE") t.ending = Ending::called_off;
     answered(id, t);
@@ -220,7 +220,7 @@
     book_.drop(id);
 }
 
-void Relay::due(Id id) {
+void Relay::tunnel_due(Id id) {
     Tunnel& t = *floor_.find(id);
     if (floor_.loop.now() < t.due) return;
     if (t.state == State::moving &&
@@ -259,8 +259,8 @@
         if (t.state != State::relaying || t.up.ended || t.down.ended) continue;
         Unheard& host = unheard_[t.place];
         ++host.tunnels;
-        if (t.owed == 0 || !t.down.waiting.empty())
-            continue;  // its client takes nothing: no fault of the host
+        // Where its client takes nothing the host is not to blame.
+        if (t.owed == 0 || !t.down.waiting.empty()) continue;
         const Tenths age = floor_.loop.now() - t.waiting_since;
         if (age >= owed_for && floor_.loop.now() - t.heard_at >= silent_after)
             silent_.push_back(floor_.id_of(at));
--- a/src/tunnel/relay.h
+++ b/src/tunnel/relay.h
@@ -15,8 +15,8 @@
     Relay(Floor& floor, Book& book);
     // The host's UP and what came behind it wait to go down.
     void begin(Id id);
-    void ready(Id id, Side side, short events);
-    void due(Id id);
+    void tunnel_ready(Id id, Side side, short events);
+    void tunnel_due(Id id);
     void move(Id id);
     // Looks for hosts that answer no line any more.
     void look_over();
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -64,7 +64,7 @@
     floor_.set_due(id, t, std::min(t.setup_until, floor_.loop.now() + floor_.launch.connect_timeout));
 }
 
-void Send::ready(Id id, Side side, short events) {
+void Send::tunnel_ready(Id id, Side side, short events) {
     Tunnel& t = *floor_.find(id);
     if (side == Side::client) {
         if ((events & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return book_.client_left(id);
@@ -160,7 +160,7 @@
                         false);
 }
 
-void Send::due(Id id) {
+void Send::tunnel_due(Id id) {
     Tunnel& t = *floor_.find(id);
     if (floor_.loop.now() < t.due) return;
     if (t.state == State::deciding) {
--- a/src/tunnel/send.h
+++ b/src/tunnel/send.h
@@ -16,8 +16,8 @@
     void start(Id id, std::uint32_t place, Tenths longest_wait);
     // A tunnel that is open at its host already goes there until it is up.
     void resume_standing(Id id);
-    void ready(Id id, Side side, short events);
-    void due(Id id);
+    void tunnel_ready(Id id, Side side, short events);
+    void tunnel_due(Id id);
 
   private:
     void connect(Id id);
--- a/src/tunnel/stages.h
+++ b/src/tunnel/stages.h
@@ -19,54 +19,44 @@
     void ready(std::uint64_t token, short events) override {
         const Id id = token >> 1;
         const auto side = static_cast<Side>(token & 1);
-        const Tunnel* t = floor.find(id);
-        if (t == nullptr) return;
-        switch (t->state) {
-            case State::free:
-                return;
-            case State::taking_in:
-                return take_in.client_ready(id);
-            case State::deciding:
-            case State::connecting:
-            case State::sending_line:
-            case State::awaiting_answer:
-                return send.ready(id, side, events);
-            case State::relaying:
-            case State::moving:
-                return relay.ready(id, side, events);
-            case State::departing:
-                return book.ready(id, side);
-        }
+        at_stage(id, [&](auto& stage) { stage.tunnel_ready(id, side, events); });
     }
     void due(std::uint64_t token) override {
         const Id id = token >> 1;
+        at_stage(id, [&](auto& stage) { stage.tunnel_due(id); });
+    }
+
+    Floor floor;
+    Book book{floor};
+    Relay relay{floor, book};
+    Send send{floor, book, relay};
+    Route route{floor, send, relay, book};
+    Admit admit{floor, route, book};
+    TakeIn take_in{floor, admit, book};
+
+  private:
+    // Calls tell(stage) with the stage that has a tunnel in its present state; not where it is no more.
+    template <class Tell>
+    void at_stage(Id id, Tell&& tell) {
         const Tunnel* t = floor.find(id);
         if (t == nullptr) return;
         switch (t->state) {
             case State::free:
                 return;
             case State::taking_in:
-                return take_in.client_due(id);
+                return tell(take_in);
             case State::deciding:
             case State::connecting:
             case State::sending_line:
             case State::awaiting_answer:
-                return send.due(id);
+                return tell(send);
             case State::relaying:
             case State::moving:
-                return relay.due(id);
+                return tell(relay);
             case State::departing:
-                return book.due(id);
+                return tell(book);
         }
     }
-
-    Floor floor;
-    Book book{floor};
-    Relay relay{floor, book};
-    Send send{floor, book, relay};
-    Route route{floor, send, relay, book};
-    Admit admit{floor, route, book};
-    TakeIn take_in{floor, admit, book};
 };
 
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -31,8 +31,7 @@
 
 void TakeIn::ready(std::uint64_t, short) {
     for (int i = 0; i < accepts_a_pass; ++i) {
-        // Each pass of the loop costs as much as there are connections: the silent have a part of them at
-        // most.
+        // Each pass of the loop costs as much as there are connections: the silent have a part of them.
         const bool crowded = floor_.taking_in() > floor_.launch.sockets / 4;
         if ((crowded || floor_.down_to(Admit::spare)) && !book_.make_room() && floor_.down_to(Admit::spare))
             return rest();
@@ -46,7 +45,8 @@
         const Id id = floor_.open(std::move(fd));
         floor_.go(id, State::taking_in);
         floor_.set_due(id, *floor_.find(id), floor_.loop.now() + longest_silence);
-        client_ready(id);  // mostly its line is here already: then it never counts as silent
+        tunnel_ready(id, Side::client,
+                     POLLIN);  // mostly its line is here already: then it never counts as silent
     }
 }
 
@@ -66,7 +66,7 @@
     listener_.wait_for(POLLIN);
 }
 
-void TakeIn::client_ready(Id id) {
+void TakeIn::tunnel_ready(Id id, Side, short) {
     Tunnel& t = *floor_.find(id);
     if (!t.opening.held()) t.opening = floor_.pool.take();
     const auto [at, room] = t.opening.room();
@@ -92,8 +92,8 @@
         if (++t.pings > most_pings) return book_.turn_away(id), false;
         if (net::write_some(t.client.fd(), pong).bytes != pong.size()) return book_.drop(id), false;
         // Who asks and stays has what it came for: by thousands they would make each pass of the loop dear.
-        t.due = std::min(t.due, floor_.loop.now() + silence_after_pong);
-        floor_.set_due(id, t, t.due);
+        const Tenths until = floor_.loop.now() + silence_after_pong;
+        if (until < t.due) floor_.set_due(id, t, until);
         return true;
     }
     Arrival arrival;
@@ -124,10 +124,4 @@
     return there.ended || there.error != 0;
 }
 
-void TakeIn::client_due(Id id) {
-    Tunnel& t = *floor_.find(id);
-    if (floor_.loop.now() >= t.due) return book_.drop(id);
-    floor_.set_due(id, t, t.due);
-}
-
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/take_in.h
+++ b/src/tunnel/take_in.h
@@ -16,8 +16,8 @@
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
     // The connection of a client that has not sent its first line yet.
-    void client_ready(Id id);
-    void client_due(Id id);
+    void tunnel_ready(Id id, Side side, short events);
+    void tunnel_due(Id id) { book_.drop(id); }
 
   private:
     void rest();
