Few reporters that tell together, news of nodes only where paid; costs counted in the log

At fault: Mind::say_hello in the constructor and lose_peer's word to all, each from all nodes at once; reporter = one node a host; hearer_price. So reports are told by one node for some sixteen hosts, sooner the larger the change; the next two on the ring stand in where it is silent.

--- /dev/null
+++ b/src/account/costs.cpp
@@ -0,0 +1,31 @@
+#include "account/costs.h"
+
+#include <string_view>
+
+namespace lemonstair::account {
+
+namespace {
+
+constexpr std::array<std::string_view, endings> ending_names{
+    "opened", "error", "full", "timed_out", "unreachable", "broken", "called_off", "not_sent"};
+
+}  // namespace
+
+void write_added(std::ostream& to, const Costs& now, const Costs& before) {
+    const auto write = [&](std::string_view name, std::uint64_t a, std::uint64_t b) {
+        if (a != b) to << ' ' << name << '=' << a - b;
+    };
+    write("setups", now.setups, before.setups);
+    for (std::size_t i = 0; i < endings; ++i) write(ending_names[i], now.ended[i], before.ended[i]);
+    write("probes", now.probes, before.probes);
+    write("probe_lines", now.probe_lines, before.probe_lines);
+    write("calls", now.calls, before.calls);
+    write("calls_failed", now.calls_failed, before.calls_failed);
+    write("call_waited_ms", now.call_waited_ms, before.call_waited_ms);
+    write("datagrams", now.datagrams, before.datagrams);
+    for (std::size_t i = 0; i < now.peer_bytes.size(); ++i)
+        write(peer::name_of_kind(i), now.peer_bytes[i], before.peer_bytes[i]);
+    write("processor_us", now.processor_us, before.processor_us);
+}
+
+}  // namespace lemonstair::account
--- /dev/null
+++ b/src/account/costs.h
@@ -0,0 +1,39 @@
+// What a node does that others pay for, counted since its start: datagrams by what they say, probes, calls to
+// discovery, setups by their ending. Once a second the node writes what was added in one line.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <ostream>
+#include <span>
+
+#include "balance/balance.h"
+#include "peer/codec.h"
+
+namespace lemonstair::account {
+
+constexpr std::size_t endings = 8;  // of a setup; opened is one of them
+static_assert(static_cast<std::size_t>(Ending::not_sent) + 1 == endings);
+
+struct Costs {
+    std::uint64_t datagrams = 0;  // to one node each
+    peer::Sizes peer_bytes{};     // by kind, once for each node that is to hear them
+    std::uint64_t probes = 0, probe_lines = 0;  // asked; connections opened for them
+    std::uint64_t calls = 0, calls_failed = 0;  // to discovery
+    std::uint64_t call_waited_ms = 0;           // for its answers
+    std::uint64_t setups = 0;
+    std::array<std::uint64_t, endings> ended{};
+    std::uint64_t processor_us = 0;
+
+    void told(std::span<const std::uint8_t> bytes, std::size_t hearers) {
+        datagrams += hearers;
+        peer::add_sizes(bytes, hearers, peer_bytes);
+    }
+    void setup_ended(Ending ending) { ++ended[static_cast<std::size_t>(ending)]; }
+    bool operator==(const Costs&) const = default;
+};
+
+// The figures of `now` that are above those of `before`, as "name=more" with a blank before each.
+void write_added(std::ostream& to, const Costs& now, const Costs& before);
+
+}  // namespace lemonstair::account
--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -21,6 +21,8 @@
 constexpr Tenths silent_peer = 5 * second / 2, trial_pause = 2 * second;
 constexpr Tenths unheard_limit = second;
 constexpr double talk_part = 0.02, most_piled = 2;
+constexpr double usual_change = 0.1;  // of a load, that is told after the usual pause
+constexpr int not_reporting = 3;
 
 // The sequential test on an ep's outcomes: "half of them fail" against "as many fail as elsewhere".
 constexpr double bad_part = 0.5, usual_part = 0.015, shared_part = 0.1, doubt_limit = 6.0;
@@ -48,10 +50,20 @@
         for (double x = 0; x <= most_load; x += 1 / harm_steps)
             harms.push_back((1 + late_slope * x) * std::exp(-late_slope * (1 - x)));
         host.wake(now + sweep_every, 0);
-        say_hello();  // a node that has just started holds no records: the others send what it should hold
     }
 
+    // Who has started or fallen silent is told to all where that is paid, if all nodes did so, by the tunnels
+    // of the time in which refreshes put the records right by themselves. Guards against a storm when many
+    // nodes start or end at once.
+    bool news_pays() const {
+        return paced(second, hearer_price(1) * nodes(), 20) <= refresh_every;
+    }
+    void greet() {  // a node that has just started holds no records: the others send what it should hold
+        greeted = true;
+        if (news_pays()) say_hello();
+    }
     void say_hello() {
+        hello_at = now;
         if (talks()) outbox.tell_all([](peer::Message& m) { m.hello(); });
     }
 
@@ -71,7 +83,7 @@
             eps.emplace_back();
             ids.push_back(id);
             eps[at].id = id;
-            eps[at].reporter = first_living(mix(id));
+            find_reporters(eps[at]);
             eps[at].others.assign(peers.size(), 0);
             chill(eps[at]);
             eps[at].probed_at = now - draw_span(probe_every);
@@ -175,6 +187,7 @@
         if (!peers[node].lives) {
             say("node %u is back", node);
             renew_chains(node, true);
+            post(node, [&](peer::Message& m) { return m.lost(node); });  // so that it tells all
         }
         peer::decode(bytes, *this);
     }
@@ -215,7 +228,7 @@
     }
     // Its neighbour tells that a node fell silent; one that still runs says so itself.
     void lost(std::uint32_t node) override {
-        if (node == terms.me) return say_hello();
+        if (node == terms.me) return now - hello_at > second ? say_hello() : void();
         if (node < peers.size() && peers[node].lives) lose_peer(node);
     }
     void outcome(std::uint32_t ep, std::uint8_t ending) override {
@@ -225,8 +238,9 @@
     void report(std::uint32_t ep, bool good, double load) override {
         if (ep_of(ep) == nullptr) return;
         Ep& e = *ep_of(ep);
-        e.x = load;
-        e.x_at = now;
+        e.x = e.x_told = load;
+        e.x_at = e.x_told_at = now;
+        e.bad_told = !good;
         if (good && e.aside && now - e.aside_at > second) come_back(e, "its reporter");
         if (!good && !e.aside && now - e.good_at > second) set_aside(e, "told by its reporter", load);
     }
@@ -266,7 +280,7 @@
         for (const auto n : before) {
             if (n == none) continue;
             if (std::find(watched.begin(), watched.end(), n) == watched.end()) peers[n].heard = now;
-            if (now - peers[n].heard <= silent_peer) continue;
+            if (now - peers[n].heard <= silent_peer || !news_pays()) continue;
             outbox.tell_all([&](peer::Message& m) { m.lost(n); });
             lose_peer(n);
         }
@@ -277,8 +291,9 @@
     }
     void reckon_talk() {
         const auto servers = static_cast<double>(eps.size());
-        report_pause = paced(report_every, hearer_price(peer::seen_bytes) * nodes() * servers, 8);
-        tell_pause = paced(report_every, hearer_price(peer::report_bytes) * servers, 16);
+        const double reporters = std::min(nodes(), servers / 16 + 1);
+        report_pause = paced(report_every, hearer_price(peer::seen_bytes * servers) * nodes(), 8);
+        tell_pause = paced(report_every, hearer_price(peer::report_bytes * servers / reporters) * reporters, 16);
     }
     void tell_sums() {
         const bool all = ++reports % 4 == 0;  // what is lost is told again in the end
@@ -547,7 +562,7 @@
         judge(e, ending, false);
         if (sums_known || never_ran(ending)) return;
         const auto kind = static_cast<std::uint8_t>(ending);
-        post(first_living(mix(e.id)), [&](peer::Message& m) { return m.outcome(e.id, kind); });
+        post(e.reporter, [&](peer::Message& m) { return m.outcome(e.id, kind); });
     }
     void set_aside(Ep& e, const char* why, double figure) {
         e.aside = true;
@@ -885,25 +900,42 @@
         e.room = e.room > 0 ? e.room + (seen - e.room) * 0.4 : seen;
     }
 
-    // The reporter's word to all: at once where an ep fell silent or came back, else as its price allows.
+    // Eps of one block have the same reporter, who tells of them in one message; the next two on the ring
+    // take its place one after the other where it says nothing.
+    void find_reporters(Ep& e) {
+        constexpr std::uint32_t together = 16;
+        const auto blocks = static_cast<std::uint32_t>(eps.size() / together + 1);
+        Ring::Chain nodes{};
+        const std::size_t n = ring.chain(
+            mix(e.id % blocks), 3, [this](std::uint32_t k) { return lives(k); }, nodes);
+        e.reporter = nodes[0];
+        e.rank = static_cast<int>(std::find(nodes.begin(), nodes.begin() + n, terms.me) - nodes.begin());
+        if (e.rank == static_cast<int>(n)) e.rank = not_reporting;
+    }
+    // The reporter's word to all: at once where an ep fell silent or came back, else as its price allows, and
+    // the sooner the more its load has changed.
+    bool to_tell(const Ep& e) const {
+        if (e.rank == not_reporting || e.life != Life::in_service) return false;
+        if (e.aside != e.bad_told) return now - e.aside_at >= e.rank * second;
+        if (std::isnan(e.x) || now - last_report < std::max(second, tell_pause / 8)) return false;
+        const double change = std::min(std::abs(e.x - e.x_told) / usual_change, 8.0);
+        const auto waited = static_cast<double>(now - e.x_told_at) / (1 + 2 * e.rank);
+        return waited * (change > 0.5 ? change : 0.25) >= static_cast<double>(tell_pause);
+    }
     void tell_reports() {
-        const bool due = now - last_report >= tell_pause;
-        const auto says = [&](const Ep& e) {
-            const bool changed = now - e.x_told_at >= 4 * tell_pause || std::abs(e.x - e.x_told) > 0.05;
-            return e.reporter == terms.me && e.life == Life::in_service &&
-                   (e.aside != e.bad_told || (due && !std::isnan(e.x) && changed));
-        };
-        if (std::none_of(eps.begin(), eps.end(), says)) return;
+        if (std::none_of(eps.begin(), eps.end(), [this](const Ep& e) { return to_tell(e); })) return;
         outbox.tell_all_of([&](auto&& put) {
             for (auto& e : eps) {
-                if (!says(e)) continue;
+                const bool told_with = e.rank != not_reporting && e.life == Life::in_service &&
+                                       std::abs(e.x - e.x_told) > usual_change / 4;
+                if (!told_with && !to_tell(e)) continue;
                 e.bad_told = e.aside;
                 e.x_told = std::isnan(e.x) ? 0 : e.x;
                 e.x_told_at = now;
                 put([&](peer::Message& m) { return m.report(e.id, !e.aside, e.x_told); });
             }
         });
-        if (due) last_report = now;
+        last_report = now;
     }
 
     // ---- moving tunnels off an ep that serves none of them well
@@ -954,6 +986,7 @@
     // ---- the sweep
     void sweep() {
         host.wake(now + sweep_every, 0);
+        if (!greeted) greet();
         keep_list();
         forget_placed();
         for (double* part : {&opened_lately, &ended_lately, &tried_lately, &failed_lately})
@@ -983,7 +1016,7 @@
     // What looks at all eps is done less often the more there are: the node has little time for it.
     void look_over() {
         for (std::uint32_t i = 0; i < eps.size() && ring_changed; ++i)
-            eps[i].reporter = first_living(mix(eps[i].id));
+            find_reporters(eps[i]);
         ring_changed = false;
         weigh_fleet();
         if (terms.limits.probing) send_probes();
@@ -1007,8 +1040,10 @@
         for (auto& e : eps) {
             if (e.life != Life::in_service || e.probing) continue;
             // Without sums an ep's reporter probes for all; the others only where they hear nothing of it.
-            const bool mine = sums_known || e.reporter == terms.me;
-            const Tenths wait = e.silent ? probe_every : mine ? pause : 8 * tell_pause;
+            const bool mine = sums_known || e.rank != not_reporting;
+            const Tenths wait = e.silent             ? probe_every
+                                : sums_known || mine ? pause * (sums_known ? 1 : 1 + e.rank)
+                                                     : 8 * tell_pause;
             if (now - std::max(e.probed_at, mine ? -never : e.x_at) < wait) continue;
             e.probing = true;
             e.probed_at = now;
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -70,6 +70,7 @@
     Tenths judged_at = 0;
     Tenths home_at = -never;  // when it was last told to be a group's home
     std::uint32_t reporter = none;
+    int rank = 0;  // of this node among its reporters
     bool bad_told = false;
 };
 
@@ -152,8 +153,8 @@
     }
     bool talks() const { return terms.limits.peers && peers.size() > 1; }
     double nodes() const { return static_cast<double>(peers.size()); }
-    double hearer_price(double bytes) const {  // of an item that all other nodes hear
-        return terms.prices.peer * bytes / peer::max_bytes * (nodes() - 1);
+    double hearer_price(double bytes) const {  // of a message that all other nodes hear
+        return terms.prices.peer * (bytes + peer::message_bytes) / peer::max_bytes * (nodes() - 1);
     }
     bool lives(std::uint32_t node) const { return node == terms.me || peers[node].lives; }
     std::size_t chain(std::uint64_t key, Ring::Chain& out) const {  // the tail first
@@ -192,7 +193,7 @@
     std::vector<std::uint32_t> held, retrying;
     Two watched{none, none};  // the nodes whose signs of life are awaited here
     ListKind list_kind = ListKind::remembered;
-    Tenths ask_list_at = 0, last_report = 0, last_scan = 0, last_sign = 0;
+    Tenths ask_list_at = 0, last_report = 0, last_scan = 0, last_sign = 0, hello_at = -never;
     Tenths quickest_message = never, longest_timeout = 0;
     Tenths report_pause = second, tell_pause = second;
     double opened_lately = 0, ended_lately = 0, tried_lately = 0, failed_lately = 0, placed_lately = 0;
@@ -200,7 +201,7 @@
     double room_a_size = 2.5, fleet_load = 0, ends_a_second = 0;
     std::uint32_t from = 0, ends = 0, reports = 0, sweeps = 0;
     int setting_up = 0, list_failures = 0;
-    bool ring_changed = true;
+    bool ring_changed = true, greeted = false;
     bool gate_was_open = true, watching = false, too_dear = false;
     bool sums_known = false;  // each living node's load on each ep is known here
 };
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -18,6 +18,8 @@
 void Watch::open(std::uint64_t after_revision) {
     if (is_open()) return;
     ++call_;
+    ++costs_.calls;
+    called_at_ = loop_.now();
     lines_.begin();
     question_ = "GET /api/targets?stream=1&index=" + std::to_string(after_revision) +
                 " HTTP/1.1\r\nHost: discovery\r\nAccept: application/json\r\n\r\n";
@@ -40,6 +42,8 @@
 }
 
 void Watch::go(Phase to, net::Tenths patience) {
+    if (to == Phase::standing)
+        costs_.call_waited_ms += static_cast<std::uint64_t>((loop_.now() - called_at_) / 10);
     phase_ = to;
     dead_at_ = loop_.now() + patience;
     loop_.at(dead_at_, *this, call_);
@@ -97,6 +101,7 @@
 
 void Watch::lose(std::string_view why) {
     log_.info() << "watch on discovery: " << why;
+    if (phase_ != Phase::standing) ++costs_.calls_failed;
     hang_up();
     hearer_.watch_lost();
 }
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "account/costs.h"
 #include "discovery/http_lines.h"
 #include "json/json.h"
 #include "log/log.h"
@@ -29,8 +30,8 @@
 class Watch final : public net::Waiter {
   public:
     Watch(net::Loop& loop, net::BufferPool& pool, const net::Address& discovery, Hearer& hearer,
-          log::Log& log)
-        : loop_(loop), pool_(pool), discovery_(discovery), hearer_(hearer), log_(log) {}
+          log::Log& log, account::Costs& costs)
+        : loop_(loop), pool_(pool), discovery_(discovery), hearer_(hearer), log_(log), costs_(costs) {}
     // Nothing happens where a call is under way or stands.
     void open(std::uint64_t after_revision);
     bool is_open() const { return phase_ != Phase::closed; }
@@ -54,12 +55,13 @@
     net::Address discovery_;
     Hearer& hearer_;
     log::Log& log_;
+    account::Costs& costs_;
     net::Socket socket_;
     std::string question_;
     HttpLines lines_;
     json::Document line_;
     Phase phase_ = Phase::closed;
-    net::Tenths dead_at_ = 0;
+    net::Tenths dead_at_ = 0, called_at_ = 0;
     std::uint64_t call_ = 0;
 };
 
--- a/src/net/kernel.cpp
+++ b/src/net/kernel.cpp
@@ -6,6 +6,7 @@
 #include <sys/signalfd.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -102,6 +103,12 @@
     return {.error = not_now(errno) ? 0 : errno};
 }
 
+std::uint64_t Kernel::processor_us() {
+    timespec used{};
+    if (::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used) != 0) return 0;
+    return static_cast<std::uint64_t>(used.tv_sec) * 1000000 + static_cast<std::uint64_t>(used.tv_nsec) / 1000;
+}
+
 int Kernel::poll(std::span<pollfd> set, Tenths longest) {
     return ::poll(set.data(), set.size(), static_cast<int>((longest + 9) / 10));
 }
--- a/src/net/kernel.h
+++ b/src/net/kernel.h
@@ -19,6 +19,7 @@
 class Kernel final : public System {
   public:
     Tenths now() override { return clock_.now(); }
+    std::uint64_t processor_us() override;
     int poll(std::span<pollfd> set, Tenths longest) override;
     void close(int fd) override;
     std::size_t allowed_descriptors(std::size_t asked) override;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,17 +5,18 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <sstream>
 
 namespace lemonstair::node {
 
 namespace {
 
-constexpr Tenths look_over_every = 2500, tally_every = 100000;
+constexpr Tenths look_over_every = 2500, tally_every = 100000, costs_every = 10000;
 // After the word to leave the front goes on sending clients for a while; those are moved with the rest.
 constexpr Tenths move_after = 5000, move_within = 10000;
 constexpr Tenths first_pause = 2500, longest_pause = 50000;
 
-enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer };
+enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer, costs_timer };
 
 std::string_view name_of(int phase) {
     constexpr std::array<std::string_view, 4> names{"starting", "serving", "leaving", "left"};
@@ -31,14 +32,14 @@
       reread_(std::move(reread)),
       loop_(system),
       hosts_(launch_.zones, log_),
-      stages_(loop_, launch_, hosts_, log_),
-      peers_(loop_, launch_,
+      stages_(loop_, launch_, hosts_, log_, costs_),
+      peers_(loop_, launch_, costs_,
              [this](std::uint32_t node, std::span<const std::uint8_t> bytes) {
                  stages_.floor.mind().told(node, bytes);
              }),
       orders_(loop_, peers_, log_),
-      watch_(loop_, stages_.floor.pool, launch_.discovery, *this, log_),
-      prober_(loop_, stages_.floor.pool, hosts_, *this, launch_),
+      watch_(loop_, stages_.floor.pool, launch_.discovery, *this, log_, costs_),
+      prober_(loop_, stages_.floor.pool, hosts_, *this, launch_, costs_),
       balancer_(decider(launch_.terms, orders_, loop_.now())),
       rng_(launch_.terms.seed),
       signals_(loop_, system.signals(), POLLIN, *this, 0) {
@@ -48,7 +49,7 @@
     if (list.type() == json::Type::object) hosts_.take(list, stages_.floor.mind(), true);
     stages_.take_in.listen_on(launch_.listen);
     for (const auto& [timer, every] :
-         {std::pair{look_over_timer, look_over_every}, {tally_timer, tally_every}})
+         {std::pair{look_over_timer, look_over_every}, {tally_timer, tally_every}, {costs_timer, costs_every}})
         loop_.at(loop_.now() + every, *this, timer);
     if (!launch_.terms.must_ask) watch_.open(hosts_.revision());
     go(Phase::serving);
@@ -160,6 +161,7 @@
 
 void Node::due(std::uint64_t token) {
     if (token == look_over_timer) return look_over();
+    if (token == costs_timer) return tell_costs();
     if (token == list_timer) return watch_.open(hosts_.revision());
     loop_.at(loop_.now() + tally_every, *this, tally_timer);
     const auto& floor = stages_.floor;
@@ -171,6 +173,17 @@
                 << n.silent << " off silent hosts), bad clients " << n.bad << ", gave way " << n.gave_way;
 }
 
+void Node::tell_costs() {
+    loop_.at(loop_.now() + costs_every, *this, costs_timer);
+    if (costs_ == costs_told_) return;  // nothing but processor time
+    costs_.processor_us = loop_.system().processor_us();
+    std::ostringstream added;
+    account::write_added(added, costs_, costs_told_);
+    log_.info() << "second:" << added.str() << " tunnels_held=" << stages_.floor.admitted
+                << " probe_lines_held=" << prober_.lines();
+    costs_told_ = costs_;
+}
+
 void Node::look_over() {
     loop_.at(loop_.now() + look_over_every, *this, look_over_timer);
     stages_.relay.look_over();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <string_view>
 
+#include "account/costs.h"
 #include "balance/balance.h"
 #include "config/launch.h"
 #include "discovery/hosts.h"
@@ -37,6 +38,7 @@
     struct Holds {
         std::size_t tunnels, buffers, timers;
     };
+    const account::Costs& costs() const { return costs_; }
     Holds holds() const { return {stages_.floor.in_hand, stages_.floor.pool.out(), loop_.timers()}; }
 
   private:
@@ -44,6 +46,7 @@
     void go(Phase to);
     void carry_out(const Orders::Order& order);
     void look_over();
+    void tell_costs();  // what was added since the last line
     void tell_list(ListKind kind);  // without entries
     void move_all();
     void renew();
@@ -60,6 +63,7 @@
     log::Log& log_;
     Reread reread_;
     net::Loop loop_;
+    account::Costs costs_, costs_told_;
     discovery::Hosts hosts_;
     tunnel::Stages stages_;
     PeerLink peers_;
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -15,24 +15,25 @@
 
 }  // namespace
 
-PeerLink::PeerLink(net::Loop& loop, const config::Launch& launch, Heard heard)
-    : loop_(loop), launch_(launch), heard_(std::move(heard)) {
+PeerLink::PeerLink(net::Loop& loop, const config::Launch& launch, account::Costs& costs, Heard heard)
+    : loop_(loop), launch_(launch), costs_(costs), heard_(std::move(heard)) {
     if (launch.terms.limits.peers && launch.peer_listen)
         socket_ = net::Socket(loop, loop.system().datagrams_on(*launch.peer_listen), POLLIN, *this, 0);
 }
 
 // One that cannot go now is lost: the module counts on no datagram.
-void PeerLink::send(const net::Address& to, std::span<const std::uint8_t> bytes) {
+void PeerLink::send(const net::Address& to, std::span<const std::uint8_t> bytes, std::size_t hearers) {
     if (!socket_.open() || bytes.size() > longest) return;
+    costs_.told(bytes, hearers);
     static_cast<void>(loop_.system().send_to(socket_.fd(), to, bytes));
 }
 
 void PeerLink::tell(std::uint32_t node, std::span<const std::uint8_t> bytes) {
-    if (node < launch_.peers.size() && node != launch_.terms.me) send(launch_.peers[node], bytes);
+    if (node < launch_.peers.size() && node != launch_.terms.me) send(launch_.peers[node], bytes, 1);
 }
 
 void PeerLink::tell_all(std::span<const std::uint8_t> bytes) {
-    if (launch_.peers_all) return send(*launch_.peers_all, bytes);
+    if (launch_.peers_all) return send(*launch_.peers_all, bytes, launch_.peers.size() - 1);
     for (std::uint32_t n = 0; n < launch_.peers.size(); ++n) tell(n, bytes);
 }
 
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <span>
 
+#include "account/costs.h"
 #include "config/launch.h"
 #include "net/loop.h"
 
@@ -14,16 +15,17 @@
   public:
     // Hears the number of the node that a datagram came from, and its bytes.
     using Heard = std::function<void(std::uint32_t node, std::span<const std::uint8_t> bytes)>;
-    PeerLink(net::Loop& loop, const config::Launch& launch, Heard heard);
+    PeerLink(net::Loop& loop, const config::Launch& launch, account::Costs& costs, Heard heard);
     void tell(std::uint32_t node, std::span<const std::uint8_t> bytes);
     void tell_all(std::span<const std::uint8_t> bytes);
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t) override {}
 
   private:
-    void send(const net::Address& to, std::span<const std::uint8_t> bytes);
+    void send(const net::Address& to, std::span<const std::uint8_t> bytes, std::size_t hearers);
     net::Loop& loop_;
     const config::Launch& launch_;
+    account::Costs& costs_;
     Heard heard_;
     net::Socket socket_;
 };
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -20,6 +20,9 @@
 };
 constexpr std::array<std::size_t, kinds_end> body{
     0, 24, 8, 19, 0, seen_bytes - 1, 4, 5, report_bytes - 1, home_bytes - 1, 8};  // bytes after the kind byte
+static_assert(kinds == kinds_end);
+constexpr std::array<std::string_view, kinds_end> names{
+    "sign", "record", "ask", "answer", "hello", "seen", "lost", "outcome", "report", "home", "crossed"};
 constexpr double load_steps = 1000;
 
 std::uint64_t get(const std::uint8_t* p, int width) {
@@ -106,6 +109,14 @@
     return true;
 }
 
+void add_sizes(std::span<const std::uint8_t> bytes, std::uint64_t times, Sizes& to) {
+    to[0] += times;
+    for (std::size_t at = 1; at < bytes.size() && bytes[at] < kinds_end; at += 1 + body[bytes[at]])
+        to[bytes[at]] += (1 + body[bytes[at]]) * times;
+}
+
+std::string_view name_of_kind(std::size_t kind) { return names[kind]; }
+
 bool decode(std::span<const std::uint8_t> bytes, Listener& to) {
     if (bytes.empty() || bytes.size() > max_bytes || bytes[0] != version) return false;
     for (std::size_t at = 1;
--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -4,15 +4,23 @@
 #include <array>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 namespace lemonstair::peer {
 
 inline constexpr std::size_t max_bytes = 256;
+inline constexpr std::size_t message_bytes = 17;  // that a message is paid for beside its items
 inline constexpr std::uint8_t version = 2;
 inline constexpr std::size_t seen_bytes = 8;    // of one `seen` item
 inline constexpr std::size_t home_bytes = 9;    // of one `home` item
 inline constexpr std::size_t report_bytes = 8;  // of one `report` item
 
+// Bytes by kind of item; at 0 what no item takes, which is all of a sign of life.
+inline constexpr std::size_t kinds = 11;
+using Sizes = std::array<std::uint64_t, kinds>;
+void add_sizes(std::span<const std::uint8_t> bytes, std::uint64_t times, Sizes& to);
+std::string_view name_of_kind(std::size_t kind);
+
 // What a message says; the decoder turns each item into one call.
 class Listener {
   public:
--- a/src/probe/prober.cpp
+++ b/src/probe/prober.cpp
@@ -91,6 +91,7 @@
     }
     l.socket = net::Socket(loop_, std::move(fd), POLLOUT, *this, token_of(place));
     ++open_;
+    ++costs_.probe_lines;
     l.state = State::connecting;
     set_due(place, loop_.now() + launch_.connect_timeout);
 }
@@ -98,6 +99,7 @@
 void Prober::ask(std::uint32_t place) {
     Line& l = lines_[place];
     const std::string_view question = launch_.reports ? "STATS\r\n" : "PING\r\n";
+    ++costs_.probes;
     l.state = State::asking;
     l.said = 0;
     l.question = question;
--- a/src/probe/prober.h
+++ b/src/probe/prober.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "account/costs.h"
 #include "balance/balance.h"
 #include "config/launch.h"
 #include "discovery/hosts.h"
@@ -28,8 +29,9 @@
 class Prober final : public net::Waiter {
   public:
     Prober(net::Loop& loop, net::BufferPool& pool, const discovery::Hosts& hosts, Hearer& hearer,
-           const config::Launch& launch)
-        : loop_(loop), pool_(pool), hosts_(hosts), hearer_(hearer), launch_(launch) {}
+           const config::Launch& launch, account::Costs& costs)
+        : loop_(loop), pool_(pool), hosts_(hosts), hearer_(hearer), launch_(launch), costs_(costs) {}
+    std::size_t lines() const { return open_; }
     void probe(std::uint32_t ep);
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
@@ -65,6 +67,7 @@
     const discovery::Hosts& hosts_;
     Hearer& hearer_;
     const config::Launch& launch_;
+    account::Costs& costs_;
     std::vector<Line> lines_;  // by place of the host
     std::size_t open_ = 0;
     std::deque<std::uint32_t> waiting_;  // places, for want of a descriptor
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 
+#include "account/costs.h"
 #include "balance/balance.h"
 #include "balance/id_index.h"
 #include "balance/slab.h"
@@ -28,8 +29,9 @@
 };
 
 struct Floor {
-    Floor(net::Loop& with, net::Waiter& stages, const config::Launch& by, discovery::Hosts& of, log::Log& to)
-        : loop(with), waiter(stages), launch(by), hosts(of), log(to) {}
+    Floor(net::Loop& with, net::Waiter& stages, const config::Launch& by, discovery::Hosts& of, log::Log& to,
+          account::Costs& counts)
+        : loop(with), waiter(stages), launch(by), hosts(of), log(to), costs(counts) {}
 
     Id id_of(std::uint32_t at) const { return Id{tunnels.serial(at) & 0x7fffffffU} << 32 | at; }
     // Nothing where the tunnel is no more.
@@ -70,6 +72,7 @@
     const config::Launch& launch;
     discovery::Hosts& hosts;
     log::Log& log;
+    account::Costs& costs;
     Balancer* balancer = nullptr;
     net::BufferPool pool;
     Slab<Tunnel> tunnels;
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -52,6 +52,7 @@
 
 void Send::connect(Id id) {
     Tunnel& t = *floor_.find(id);
+    ++floor_.costs.setups;
     floor_.go(id, State::connecting);
     if (floor_.down_to(descriptors_left) && !book_.make_room()) return failed(id, Ending::not_sent);
     net::Fd fd = floor_.loop.system().connect_to(floor_.hosts[t.place].at);
@@ -130,6 +131,7 @@
     Tunnel& t = *floor_.find(id);
     const std::uint32_t ep = floor_.hosts[t.place].ep;
     ++floor_.tally.opened;
+    floor_.costs.setup_ended(Ending::ok);
     if (begins(net::first_line(t.down.waiting.view()), "BYE"))
         t.ending = Ending::ok;  // served to its end already
     if (t.standing) {
@@ -150,6 +152,7 @@
 // The setup's connection is closed at once: nothing more of it may reach the client.
 void Send::failed(Id id, Ending ending) {
     Tunnel& t = *floor_.find(id);
+    floor_.costs.setup_ended(ending);
     t.host.close();
     t.up.waiting.give_back();
     t.down.waiting.give_back();
--- a/src/tunnel/stages.h
+++ b/src/tunnel/stages.h
@@ -14,8 +14,9 @@
 
 class Stages final : public net::Waiter {
   public:
-    Stages(net::Loop& loop, const config::Launch& launch, discovery::Hosts& hosts, log::Log& log)
-        : floor(loop, *this, launch, hosts, log) {}
+    Stages(net::Loop& loop, const config::Launch& launch, discovery::Hosts& hosts, log::Log& log,
+           account::Costs& costs)
+        : floor(loop, *this, launch, hosts, log, costs) {}
     void ready(std::uint64_t token, short events) override {
         const Id id = token >> 1;
         const auto side = static_cast<Side>(token & 1);
--- a/tests/codec.cpp
+++ b/tests/codec.cpp
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <vector>
 
+#include "account/costs.h"
+
 namespace {
 struct Heard final : lemonstair::peer::Listener {
     std::ostringstream said;
@@ -73,3 +75,16 @@
     CHECK(!lemonstair::peer::decode(std::vector<std::uint8_t>(257, 1), heard));
     CHECK(heard.said.str().empty());
 }
+
+TEST_CASE("bytes are counted by what a message says, for each node that hears it") {
+    lemonstair::peer::Message m;
+    m.hello();
+    m.lost(3);
+    lemonstair::account::Costs before, costs;
+    costs.told(m.bytes(), 9);
+    costs.setup_ended(lemonstair::Ending::full);
+    CHECK(costs.datagrams == 9);
+    std::ostringstream line;
+    lemonstair::account::write_added(line, costs, before);
+    CHECK(line.str() == " full=1 datagrams=9 sign=9 hello=9 lost=45");
+}
--- a/tests/spoilt.h
+++ b/tests/spoilt.h
@@ -35,6 +35,7 @@
   public:
     Between(net::System& real, Fault fault) : real_(real), fault_(fault) {}
     Tenths now() override { return real_.now(); }
+    std::uint64_t processor_us() override { return real_.processor_us(); }
     int poll(std::span<pollfd> set, Tenths longest) override {
         for (auto& [fd, line] : doubles_)
             if (!line.empty()) line.erase(0, real_.write_some(fd, line).bytes);
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -527,6 +527,101 @@
     CHECK(said(400) <= said(100) + 2 * 400);
 }
 
+TEST_CASE("among so many that hellos of all would cost more than they spare, who starts or ends is not told") {
+    for (const std::uint32_t nodes : {3U, 100U}) {
+        auto terms = Node::usual(0, nodes);
+        terms.prices.peer = 0.01;
+        Node n(terms);
+        n.list({1, 2, 3, 4, 5, 6, 7, 8}, ListKind::remembered);
+        n.pass(4 * s);  // its neighbours are silent
+        std::size_t hellos = 0, losts = 0;
+        for (const auto& [to, bytes] : n.post) {
+            hellos += to == 99 && bytes.size() == 2 ? 1 : 0;
+            losts += to == 99 && bytes.size() == 6 ? 1 : 0;
+        }
+        CHECK(hellos == (nodes == 3 ? 1 : 0));
+        CHECK((losts > 0) == (nodes == 3));
+    }
+}
+
+TEST_CASE("a node held lost that is heard again is told so, and says hello to all once") {
+    Node a(Node::usual(0, 9)), b(Node::usual(5, 9));
+    a.list({7}), b.list({7});
+    a.pass(1 * s), b.pass(2 * s);
+    peer::Message lost;
+    lost.lost(5);
+    a.b->told(4, lost.bytes());
+    a.post.clear(), b.post.clear();
+    a.b->told(5, peer::Message().bytes());
+    REQUIRE(a.post.size() == 1);
+    CHECK(a.post[0].first == 5);
+    for (int i = 0; i < 2; ++i) b.b->told(0, a.post[0].second);
+    REQUIRE(b.post.size() == 1);
+    CHECK(b.post[0].first == 99);
+}
+
+TEST_CASE("one node reports for all eps; where it says nothing, the next on the ring does, and then the third") {
+    constexpr std::uint32_t nodes = 90;
+    std::vector<std::unique_ptr<Node>> all;
+    for (std::uint32_t n = 0; n < nodes; ++n) {
+        auto terms = Node::usual(n, nodes);
+        terms.prices.peer = 0.01;
+        terms.seed = n + 1;
+        all.push_back(std::make_unique<Node>(terms));
+        all.back()->list({1, 2, 3, 4, 5, 6, 7, 8}, ListKind::remembered);
+    }
+    std::vector<std::uint32_t> dead;
+    std::size_t bytes = 0;
+    const auto play = [&](Tenths span, double load) {
+        std::vector<std::uint32_t> told;
+        for (Tenths t = 0; t < span; t += 100 * ms)
+            for (std::uint32_t n = 0; n < nodes; ++n) {
+                if (std::find(dead.begin(), dead.end(), n) != dead.end()) continue;
+                all[n]->pass(100 * ms);
+                all[n]->answer_probes(load);
+                for (const auto& [to, m] : std::exchange(all[n]->post, {})) {
+                    if (to != 99) continue;
+                    told.push_back(n);
+                    bytes += m.size() * (nodes - 1);
+                    for (std::uint32_t k = 0; k < nodes; ++k)
+                        if (k != n) all[k]->b->told(n, m);
+                }
+            }
+        return told;
+    };
+    play(10 * s, 0.2);
+    for (int i = 0; i < 2; ++i) {  // the reporter of now, and who has taken its place
+        const auto told = play(20 * s, i == 0 ? 0.7 : 0.2);
+        REQUIRE(!told.empty());
+        CHECK(told.size() <= 4);
+        CHECK(std::find(dead.begin(), dead.end(), told.back()) == dead.end());
+        dead.push_back(told.back());
+    }
+    CHECK(!play(30 * s, 0.7).empty());
+    CHECK(bytes < 89 * 65 * 10);  // eight eps in a message, ten times in 80 s
+}
+
+TEST_CASE("a large change of a load is told sooner than a small one") {
+    const auto told_after = [](double load) {
+        auto terms = Node::usual(0, 2);
+        terms.prices.peer = 1;
+        Node n(terms);
+        n.list({7}, ListKind::remembered);
+        n.pass(5 * s);
+        n.answer_probes(0.2);
+        for (int i = 0; i < 20; ++i) n.pass(100 * ms), n.answer_probes(0.2);
+        n.post.clear();
+        for (int i = 0; i < 600; ++i) {
+            n.pass(100 * ms);
+            n.answer_probes(load);
+            for (const auto& [to, m] : std::exchange(n.post, {}))
+                if (to == 99 && m.size() == 1 + peer::report_bytes) return i;
+        }
+        return 600;
+    };
+    CHECK(told_after(0.9) * 2 < told_after(0.3));
+}
+
 TEST_CASE("a lost node is told to all, and one that still runs says so at once") {
     Node a(Node::usual(0, 9));
     a.list({7});
