A cold host's budget in one account of all nodes; silence told by who sees it, moved at once

Signs of life stop where silence is not told of anyway; clients that come again no longer count as tunnels that pay for talk; backup reporters probe less.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -39,6 +39,9 @@
 constexpr double home_full = 0.65;          // load from which a group is given another home
 constexpr Tenths home_lasts = 60 * second;  // after its keeper's last word
 constexpr double first_load = 0.05;         // a connection's load before any is known, in cores
+constexpr double usual_life = 60;           // of a tunnel, in s, before any has ended
+constexpr std::size_t many_nodes = 40;      // a tunnel seldom comes to one of so many while an ep is cold
+constexpr double cold_part = 0.6, cold_first = 0.5, cold_debt = 3;  // of a cold ep's budget
 constexpr double shed_at = 1.5, moves_a_tunnel = 5;
 constexpr double move_from = 0.8;  // load from which tunnels are moved off an ep
 constexpr double move_gain = 0.5;  // what a move must win, in connections served instead of late
@@ -55,8 +58,8 @@
     // Who has started or fallen silent is told to all where that is paid, if all nodes did so, by the tunnels
     // of the time in which refreshes put the records right by themselves. Guards against a storm when many
     // nodes start or end at once.
-    bool news_pays() const {
-        return paced(second, hearer_price(1) * nodes(), 20) <= refresh_every;
+    bool news_pays(int times = 1) const {
+        return paced(second, hearer_price(1) * nodes() / times, 20) <= refresh_every;
     }
     void greet() {  // a node that has just started holds no records: the others send what it should hold
         greeted = true;
@@ -202,7 +205,7 @@
         // What others place shows in no sum yet; counting it keeps nodes from crowding one ep together.
         if (at == none || !fresh || now - stamp > second) return;
         expect(at, load);
-        placed_lately += sampled ? 1 : 0;
+        placed_lately += sampled && known == nullptr ? 1 : 0;  // one that comes again pays for nothing
         keep_homes(group);
     }
     void ask(std::uint64_t key) override {
@@ -271,7 +274,8 @@
     // where one falls silent: signs from all to all would grow with the square of the nodes.
     void keep_peers() {
         if (!talks()) return;
-        if (now - last_sign >= second) {
+        // Signs go on until those who watch have long ceased to tell of silence: all reckon a little apart.
+        if (now - last_sign >= second && news_pays(4)) {
             last_sign = now;
             for (const auto n : next_living(1))
                 if (n != none) host.tell(n, peer::Message().bytes());
@@ -279,8 +283,9 @@
         const Two before = next_living(peers.size() - 1);
         for (const auto n : before) {
             if (n == none) continue;
-            if (std::find(watched.begin(), watched.end(), n) == watched.end()) peers[n].heard = now;
-            if (now - peers[n].heard <= silent_peer || !news_pays()) continue;
+            if (std::find(watched.begin(), watched.end(), n) == watched.end() || !news_pays())
+                peers[n].heard = now;
+            if (now - peers[n].heard <= silent_peer) continue;
             outbox.tell_all([&](peer::Message& m) { m.lost(n); });
             lose_peer(n);
         }
@@ -291,7 +296,7 @@
     }
     void reckon_talk() {
         const auto servers = static_cast<double>(eps.size());
-        const double reporters = std::min(nodes(), servers / 16 + 1);
+        const double reporters = std::min(nodes(), servers / 8 + 1);
         report_pause = paced(report_every, hearer_price(peer::seen_bytes * servers) * nodes(), 8);
         tell_pause = paced(report_every, hearer_price(peer::report_bytes * servers / reporters) * reporters, 16);
     }
@@ -488,10 +493,28 @@
     // Each node keeps to its part of a cold ep's budget by itself, which follows from the rate at which its
     // tunnels end: in a wave of returning clients arrivals are many times that, and push a cold ep over.
     void chill(Ep& e) {  // each node starts at a place of its own in the budget: many would fill it at once
-        e.cold_left = draw();
+        e.cold_left = shared_account() ? cold_first : draw();
         e.cold_at = now;
     }
+    // Without sums each tunnel that goes to a cold ep is told to all, and all keep one account of its budget:
+    // among many nodes a part for each would lie idle at those that no tunnel comes to.
+    void claim(std::uint32_t ep, double load) override {
+        Ep* e = ep_of(ep);
+        if (e == nullptr || !cold(*e)) return;
+        static_cast<void>(cold_allows(ep_index.find(ep)));
+        e->cold_left = std::max(e->cold_left - weight_of(load), -cold_debt);
+    }
+    // Worth its price where a tunnel seldom comes to a node while an ep is cold.
+    bool shared_account() const { return !sums_known && peers.size() > many_nodes; }
+    double weight_of(double load) const { return std::max(load / mean_load(), 0.5); }
+    void spend_cold(Ep& e, const Tun& t) {
+        e.cold_left -= shared_account() ? weight_of(t.load) : 1;
+        if (shared_account() && talks()) outbox.tell_all([&](peer::Message& m) { return m.claim(e.id, t.load); });
+    }
+    // How long a tunnel stays, from those carried here; few say little.
+    double life() const { return (2 * usual_life + carried_time) / (2.0 + static_cast<double>(ends_in_all)); }
     double cold_rate(const Ep& e) const {
+        if (shared_account()) return cold_part * terms.rules.tip_multiple * room(e) / (mean_load() * life());
         double size = 0;
         for (const auto& o : eps)
             if (o.life == Life::in_service) size += o.size;
@@ -662,7 +685,7 @@
         if (others > 0 && p.effect != Effect::once_only)
             wait = std::min(wait, std::max(p.setup_goal, wait / (others + 2)));
         Ep& e = eps[ep];
-        if (cold(e)) e.cold_left -= 1;
+        if (cold(e)) spend_cold(e, t);
         if (e.aside) e.trial_at = now + trial_pause;
         t.tried[static_cast<std::size_t>(std::min(t.setups, 3))] = ep;
         if (t.state == State::setting_up) go(at, State::idle);
@@ -858,16 +881,16 @@
         e.slow_by = takes;
     }
     void stopped(Ep& e, const char* why, Tenths figure) {
-        if (e.aside) return;
+        if (e.aside && e.silent) return;
         e.silent = true;
         e.doubt = doubt_limit;
-        set_aside(e, why, static_cast<double>(figure) / second);
+        if (!e.aside) set_aside(e, why, static_cast<double>(figure) / second);
     }
     // A sound ep answers a line at once, on each connection. Guards against one that hangs or is cut off, of
     // which setups and probes tell only seconds later.
     void unheard(std::uint32_t ep_id, Tenths span) override {
         Ep* const e = ep_of(ep_id);
-        if (e != nullptr && span >= unheard_limit) stopped(*e, "seconds with no line", span);
+        if (e != nullptr && span >= (e->aside ? unheard_limit / 2 : unheard_limit)) stopped(*e, "seconds with no line", span);
     }
     // Guards against work piled up where nothing tells of slow messages: what is asked beyond all it can do.
     void pile_up(Ep& e, double x) {
@@ -903,7 +926,7 @@
     // Eps of one block have the same reporter, who tells of them in one message; the next two on the ring
     // take its place one after the other where it says nothing.
     void find_reporters(Ep& e) {
-        constexpr std::uint32_t together = 16;
+        constexpr std::uint32_t together = 8;
         const auto blocks = static_cast<std::uint32_t>(eps.size() / together + 1);
         Ring::Chain nodes{};
         const std::size_t n = ring.chain(
@@ -915,7 +938,10 @@
     // The reporter's word to all: at once where an ep fell silent or came back, else as its price allows, and
     // the sooner the more its load has changed.
     bool to_tell(const Ep& e) const {
-        if (e.rank == not_reporting || e.life != Life::in_service) return false;
+        if (e.life != Life::in_service) return false;
+        // Who sees for itself that an ep is silent says so where its reporters do not.
+        if (e.aside && !e.bad_told && e.silent) return now - e.aside_at >= e.rank * second / 4;
+        if (e.rank == not_reporting) return false;
         if (e.aside != e.bad_told) return now - e.aside_at >= e.rank * second;
         if (std::isnan(e.x) || now - last_report < std::max(second, tell_pause / 8)) return false;
         const double change = std::min(std::abs(e.x - e.x_told) / usual_change, 8.0);
@@ -949,7 +975,7 @@
         const bool seen = sums_known || e.x_at > e.moved_at + report_lag;  // what was moved last
         if (!dead && (x < move_from || x < 1.2 * fleet_load || !seen)) return;
         e.moved_at = now;
-        double left = dead ? e.mine / 4 : (x - move_from) / x * e.mine;
+        double left = dead ? e.mine / 2 : (x - move_from) / x * e.mine;
         while (left > 0 && moves_left >= 1) {
             const std::uint32_t t = best_move(e, x, dead);
             if (t == none || draw() * tuns[t].load > left) return;
@@ -974,7 +1000,7 @@
             double there = worth_of(t.profile);  // in a full fleet it is better declined
             const double dear = copy_price(t.group);
             for (std::uint32_t k = 0; k < eps.size(); ++k)
-                if ((held_at[k] != 0 || dear < there) && &eps[k] != &off && !cold(eps[k]) &&
+                if ((held_at[k] != 0 || dear < there) && &eps[k] != &off && cold_allows(k) &&
                     has_room(eps[k], most_load))
                     there = std::min(there, cost(k, t.load, t.group));
             if (here - there <= most) continue;
@@ -996,6 +1022,8 @@
         const double window = std::clamp(static_cast<double>(now - born) / second, 1.0, 20.0);
         ends_a_second += (static_cast<double>(ends) * second / sweep_every - ends_a_second) * sweep_every /
                          second / window;
+        ends_in_all += ends;
+        for (const auto& e : eps) carried_time += e.carried * static_cast<double>(sweep_every) / second;
         ends = 0;
         // Moved clients come back through a shared store: no faster than some times the rate of tunnels.
         const double moves_a_second =
@@ -1042,7 +1070,7 @@
             // Without sums an ep's reporter probes for all; the others only where they hear nothing of it.
             const bool mine = sums_known || e.rank != not_reporting;
             const Tenths wait = e.silent             ? probe_every
-                                : sums_known || mine ? pause * (sums_known ? 1 : 1 + e.rank)
+                                : sums_known || mine ? pause * (sums_known ? 1 : 1 + 4 * e.rank)
                                                      : 8 * tell_pause;
             if (now - std::max(e.probed_at, mine ? -never : e.x_at) < wait) continue;
             e.probing = true;
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -197,8 +197,9 @@
     Tenths quickest_message = never, longest_timeout = 0;
     Tenths report_pause = second, tell_pause = second;
     double opened_lately = 0, ended_lately = 0, tried_lately = 0, failed_lately = 0, placed_lately = 0;
-    double mean_credit = 0, moves_left = 0;
-    double room_a_size = 2.5, fleet_load = 0, ends_a_second = 0;
+    double mean_credit = 0, moves_left = 2;
+    double room_a_size = 2.5, fleet_load = 0, ends_a_second = 0, carried_time = 0;
+    std::uint64_t ends_in_all = 0;
     std::uint32_t from = 0, ends = 0, reports = 0, sweeps = 0;
     int setting_up = 0, list_failures = 0;
     bool ring_changed = true, greeted = false;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -16,13 +16,15 @@
     report_kind,
     home_kind,
     crossed_kind,
+    claim_kind,
     kinds_end
 };
 constexpr std::array<std::size_t, kinds_end> body{
-    0, 24, 8, 19, 0, seen_bytes - 1, 4, 5, report_bytes - 1, home_bytes - 1, 8};  // bytes after the kind byte
+    0, 24, 8, 19, 0, seen_bytes - 1, 4, 5, report_bytes - 1, home_bytes - 1, 8, 6};  // bytes after the kind byte
 static_assert(kinds == kinds_end);
 constexpr std::array<std::string_view, kinds_end> names{
-    "sign", "record", "ask", "answer", "hello", "seen", "lost", "outcome", "report", "home", "crossed"};
+    "sign", "record", "ask", "answer", "hello", "seen", "lost", "outcome", "report", "home", "crossed",
+    "claim"};
 constexpr double load_steps = 1000;
 
 std::uint64_t get(const std::uint8_t* p, int width) {
@@ -109,6 +111,12 @@
     return true;
 }
 
+bool Message::claim(std::uint32_t ep, double load) {
+    if (!fits(body[claim_kind], claim_kind)) return false;
+    put(ep, 4), put(steps(load), 2);
+    return true;
+}
+
 void add_sizes(std::span<const std::uint8_t> bytes, std::uint64_t times, Sizes& to) {
     to[0] += times;
     for (std::size_t at = 1; at < bytes.size() && bytes[at] < kinds_end; at += 1 + body[bytes[at]])
@@ -158,6 +166,9 @@
             case crossed_kind:
                 to.crossed(u32(0), u32(4));
                 break;
+            case claim_kind:
+                to.claim(u32(0), load_at(p + 4));
+                break;
             default:
                 to.seen(u32(0), p[4] != 0, load_at(p + 5));
         }
