Blocks of hosts follow from the list alone, so that nodes agree on the reporters

Seen on reading: a host's reporters were set when it was first listed, by the number of hosts heard of so far, gone ones among them; nodes that came to the same list by different ways, as one that restarted, named other reporters, and outcomes went to nodes that judge nothing. At fault: Mind::listed and find_reporters. The reporters of all hosts are found again with each list, by the hosts that are not gone. The story fails on the module before.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -86,7 +86,6 @@
             eps.emplace_back();
             ids.push_back(id);
             eps[at].id = id;
-            find_reporters(eps[at]);
             eps[at].others.assign(peers.size(), 0);
             chill(eps[at]);
             eps[at].probed_at = now - draw_span(probe_every);
@@ -122,6 +121,7 @@
         if (list_kind == ListKind::whole || list_kind == ListKind::remembered)
             for (auto& e : eps)
                 if (!e.in_list) set_life(e, Life::gone);
+        find_reporters();
         if (list_kind == ListKind::remembered) return open_account();
         if (list_failures > 0) say("list back after %d failures", list_failures);
         list_failures = 0;
@@ -926,16 +926,22 @@
     }
 
     // Eps of one block have the same reporter, who tells of them in one message; the next two on the ring
-    // take its place one after the other where it says nothing.
-    void find_reporters(Ep& e) {
+    // take its place one after the other where it says nothing. The blocks follow from the list alone: nodes
+    // that have the same list agree on them, however they came to it.
+    void find_reporters() {
         constexpr std::uint32_t together = 8;
-        const auto blocks = static_cast<std::uint32_t>(eps.size() / together + 1);
-        Ring::Chain nodes{};
-        const std::size_t n = ring.chain(
-            mix(e.id % blocks), 3, [this](std::uint32_t k) { return lives(k); }, nodes);
-        e.reporter = nodes[0];
-        e.rank = static_cast<int>(std::find(nodes.begin(), nodes.begin() + n, terms.me) - nodes.begin());
-        if (e.rank == static_cast<int>(n)) e.rank = not_reporting;
+        std::uint32_t listed_now = 0;
+        for (const auto& e : eps) listed_now += e.life == Life::gone ? 0 : 1;
+        const std::uint32_t blocks = listed_now / together + 1;
+        for (auto& e : eps) {
+            Ring::Chain nodes{};
+            const std::size_t n = ring.chain(
+                mix(e.id % blocks), 3, [this](std::uint32_t k) { return lives(k); }, nodes);
+            e.reporter = nodes[0];
+            e.rank = static_cast<int>(std::find(nodes.begin(), nodes.begin() + n, terms.me) - nodes.begin());
+            if (e.rank == static_cast<int>(n)) e.rank = not_reporting;
+        }
+        ring_changed = false;
     }
     // The reporter's word to all: at once where an ep fell silent or came back, else as its price allows, and
     // the sooner the more its load has changed.
@@ -1045,9 +1051,7 @@
     }
     // What looks at all eps is done less often the more there are: the node has little time for it.
     void look_over() {
-        for (std::uint32_t i = 0; i < eps.size() && ring_changed; ++i)
-            find_reporters(eps[i]);
-        ring_changed = false;
+        if (ring_changed) find_reporters();
         weigh_fleet();
         if (terms.limits.probing) send_probes();
         for (std::uint32_t i = 0; i < eps.size(); ++i) relieve(i);
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -527,6 +527,19 @@
     CHECK(said(400) <= said(100) + 2 * 400);
 }
 
+// Nodes of one tier for which messages have their price, with the list that they remember.
+std::vector<std::unique_ptr<Node>> tier_of(std::uint32_t nodes, const std::vector<std::uint32_t>& eps) {
+    std::vector<std::unique_ptr<Node>> all;
+    for (std::uint32_t n = 0; n < nodes; ++n) {
+        auto terms = Node::usual(n, nodes);
+        terms.prices.peer = 0.01;
+        terms.seed = 31 * n + 1;
+        all.push_back(std::make_unique<Node>(terms));
+        all.back()->list(eps, ListKind::remembered);
+    }
+    return all;
+}
+
 TEST_CASE("among so many that hellos of all would cost more than they spare, who starts or ends is not told") {
     for (const std::uint32_t nodes : {3U, 100U}) {
         auto terms = Node::usual(0, nodes);
@@ -562,14 +575,7 @@
 
 TEST_CASE("one node reports for all eps; where it says nothing, the next on the ring does, and then the third") {
     constexpr std::uint32_t nodes = 90;
-    std::vector<std::unique_ptr<Node>> all;
-    for (std::uint32_t n = 0; n < nodes; ++n) {
-        auto terms = Node::usual(n, nodes);
-        terms.prices.peer = 0.01;
-        terms.seed = n + 1;
-        all.push_back(std::make_unique<Node>(terms));
-        all.back()->list({1, 2, 3, 4, 5, 6, 7, 8}, ListKind::remembered);
-    }
+    const auto all = tier_of(nodes, {1, 2, 3, 4, 5, 6, 7, 8});
     std::vector<std::uint32_t> dead;
     std::size_t bytes = 0;
     const auto play = [&](Tenths span, double load) {
@@ -603,15 +609,10 @@
 
 TEST_CASE("a zone comes back cold: all nodes together keep to each host's budget, and use a good part of it") {
     constexpr std::uint32_t nodes = 80;
-    std::vector<std::unique_ptr<Node>> all;
+    const auto all = tier_of(nodes, {1, 2});
     for (std::uint32_t n = 0; n < nodes; ++n) {
-        auto terms = Node::usual(n, nodes);
-        terms.prices.peer = 0.01;
-        terms.seed = 31 * n + 1;
-        all.push_back(std::make_unique<Node>(terms));
-        all.back()->list({1, 2}, ListKind::remembered);
-        all.back()->b->adopt(1, {.key = key_of(n), .group = {}}, 1 + n % 2);
-        all.back()->b->load_changed(1, 0.05);
+        all[n]->b->adopt(1, {.key = key_of(n), .group = {}}, 1 + n % 2);
+        all[n]->b->load_changed(1, 0.05);
     }
     std::vector<Node*> tier;
     for (auto& n : all) tier.push_back(n.get());
@@ -686,6 +687,28 @@
     CHECK(a.moved == std::vector<std::uint64_t>{1});
 }
 
+TEST_CASE("nodes with the same list have the same reporters, however they came to it") {
+    Node at_once(Node::usual(0, 60)), bit_by_bit(Node::usual(0, 60));
+    at_once.list({1, 2, 3, 4, 5, 6, 7, 8, 9, 10});
+    bit_by_bit.list({21, 22, 23, 24, 25, 26, 27, 28});
+    for (std::uint32_t ep = 1; ep <= 10; ++ep) bit_by_bit.list({ep}, ListKind::changes);
+    bit_by_bit.list({21, 22, 23, 24, 25, 26, 27, 28}, ListKind::changes, Life::gone);
+    const auto reporters = [](Node& n) {
+        std::vector<std::uint32_t> of(11, 99);
+        for (std::uint64_t t = 1; t <= 300; ++t) {
+            n.arrive(t);
+            n.post.clear();
+            n.open(t);
+            for (const auto& [to, m] : n.post) of[n.last().ep] = to;
+            n.pass(100 * ms);
+        }
+        return of;
+    };
+    const auto of = reporters(at_once);
+    CHECK(std::count(of.begin(), of.end(), 99U) < 4);
+    CHECK(reporters(bit_by_bit) == of);
+}
+
 TEST_CASE("a large change of a load is told sooner than a small one") {
     const auto told_after = [](double load) {
         auto terms = Node::usual(0, 2);
