Operators' calls and true figures on a listener of their own; a drained node says no

Change: src/http/ reads requests without sockets (what discovery's reader knew of words moved there), src/operators/ has the table of calls, the desk and the figures; its events go first in a pass and its descriptors are set aside. Outcomes are counted in Floor::go, attempts at the last byte of a line. The module tells how many hosts are listed and avoided by the test it places with. The node has one more phase, drained; PING speaks from the phase.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -631,6 +631,15 @@
         if (terms.profiles[t.profile].effect != Effect::referenced || scope == Scope::all) return true;
         return scope == Scope::zone ? e.zone == eps[t.ran_ep].zone : e.cell == eps[t.ran_ep].cell;
     }
+    bool avoided(const Ep& e) const { return e.life != Life::in_service || e.aside; }
+    Census census() const override {
+        Census n;
+        for (const auto& e : eps) {
+            n.listed += e.life != Life::gone ? 1 : 0;
+            n.avoided += e.life != Life::gone && avoided(e) ? 1 : 0;
+        }
+        return n;
+    }
     std::uint32_t choose(const Tun& t) {
         weights.assign(eps.size(), 0);
         mark_held(t);
@@ -641,7 +650,7 @@
             const bool tried = std::find(t.tried.begin(), t.tried.end(), i) != t.tried.end();
             const bool trial = e.aside && now >= e.trial_at && t.setups == 0 &&
                                (!terms.limits.probing || e.probe_good_at > e.aside_at);
-            if (pass == 0 && (tried || (e.aside && !trial))) return;
+            if (pass == 0 && (tried || (avoided(e) && !trial))) return;
             if (!cold_allows(i)) return;
             const double price = cost(i, t.load, t.group);
             least = std::min(least, price);
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -81,6 +81,11 @@
     double inflight = none, queue = none, busy = none, load = none, piled_s = none;
 };
 
+// Eps in the list, and those of them that nothing new is placed on now.
+struct Census {
+    std::uint32_t listed = 0, avoided = 0;
+};
+
 // What a Balancer asks of the node that it decides for.
 class Host {
   public:
@@ -142,6 +147,7 @@
     virtual void probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report) = 0;
     virtual void told(std::uint32_t node, std::span<const std::uint8_t> bytes) = 0;
     virtual void woken(std::uint64_t label) = 0;
+    virtual Census census() const = 0;
 };
 
 }  // namespace lemonstair
--- a/src/config/launch.cpp
+++ b/src/config/launch.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint64_t usual_sockets = 4096;
 constexpr double usual_connect_timeout_s = 0.25;
+constexpr std::size_t fewest_callers = 2, most_callers = 16;
 
 net::Address read_address(const json::Value& file, std::string_view key) {
     const auto at = net::parse_address(file.text(key));
@@ -23,6 +24,15 @@
     return read_address(file, key);
 }
 
+// The environment is of this process alone, the file may be written once for many: the former goes first.
+std::optional<net::Address> read_admin(const json::Value& file, const Surroundings& around) {
+    if (around.admin_addr == nullptr || *around.admin_addr == '\0')
+        return read_address_if_any(file, "admin_addr");
+    const auto at = net::parse_address(around.admin_addr);
+    if (!at) throw json::Malformed("NODE_ADMIN_ADDR is not an address and a port");
+    return at;
+}
+
 std::uint64_t read_seed(const json::Value& file) {
     const auto digits = file.text("seed");
     std::uint64_t seed = 0;
@@ -45,7 +55,7 @@
 
 }  // namespace
 
-Launch read_launch(const json::Value& file) {
+Launch read_launch(const json::Value& file, const Surroundings& around) {
     if (file.type() != json::Type::object) throw json::Malformed("the configuration is not an object");
     Launch l;
     const json::Value settings = file.inner("settings").told_as("settings"), limits = file.inner("limits");
@@ -55,6 +65,7 @@
     l.name = file.text("name", "node");
     l.listen = read_address(file, "listen");
     l.discovery = read_address(file, "discovery");
+    l.admin = read_admin(file, around);
     l.peer_listen = read_address_if_any(file, "peer_listen");
     l.peers_all = read_address_if_any(file, "peers_all");
     file.each("peers", [&](const json::Value& one) {
@@ -74,6 +85,7 @@
     if (l.connect_timeout <= 0) allowed.fail("connect_timeout", "is not above 0");
     l.sockets = limits.whole("sockets", usual_sockets);
     if (l.sockets < fewest_sockets) limits.fail("sockets", "is under 32: too few to serve");
+    if (l.admin) l.callers = std::clamp<std::size_t>(l.sockets / 32, fewest_callers, most_callers);
     const json::Value domain = settings.inner("domain");
     l.packets_pass = domain.text("mode", "proxy") == "pass";
     // A line is answered at once whatever waits at its host: how long messages take there shows in no answer.
@@ -90,6 +102,7 @@
     };
     keep("listen", now.listen == next.listen);
     keep("peer_listen", now.peer_listen == next.peer_listen);
+    keep("admin_addr", now.admin == next.admin);
     // Tunnels, records and other nodes go by these numbers.
     const bool alike = keep("balancers", now.terms.nodes == next.terms.nodes) &
                        keep("me", now.terms.me == next.terms.me) &
--- a/src/config/launch.h
+++ b/src/config/launch.h
@@ -23,15 +23,22 @@
     std::vector<std::string> profiles, zones;  // names, in the settings' order
     net::Address listen, discovery;
     std::optional<net::Address> peer_listen, peers_all;
-    std::vector<net::Address> peers;  // in the order of the nodes' numbers, this one's own among them
+    std::optional<net::Address> admin;  // where operators call
+    std::size_t callers = 0;            // that may call at a time; descriptors are set aside for them
+    std::vector<net::Address> peers;    // in the order of the nodes' numbers, this one's own among them
     Tenths connect_timeout = 0;
     std::size_t sockets = 0;    // descriptors that the node may hold
     bool packets_pass = false;  // connections go on through another node when this one dies
     bool reports = false;       // hosts tell their load when probed
 };
 
+// What the environment tells beside the file; what it names goes before the file's keys.
+struct Surroundings {
+    const char* admin_addr = nullptr;  // $NODE_ADMIN_ADDR
+};
+
 // Throws json::Malformed, which names the faulty key.
-Launch read_launch(const json::Value& file);
+Launch read_launch(const json::Value& file, const Surroundings& around = {});
 
 // Takes over what may change while the node serves. What it was started with and cannot change keeps its old
 // value; the names of those keys that the new one has otherwise are given back.
--- a/src/config/source.cpp
+++ b/src/config/source.cpp
@@ -15,7 +15,7 @@
     if (const char* wrong = system_.read_file(path_, longest_file, text_)) fail(wrong);
     if (!file_.parse(text_)) fail("is not JSON");
     const json::Value file = file_.root().told_as("configuration");
-    Launch launch = read_launch(file);
+    Launch launch = read_launch(file, around_);
     // The system may allow fewer descriptors than the file grants.
     launch.sockets = system_.allowed_descriptors(launch.sockets);
     if (launch.sockets < fewest_sockets)
--- a/src/config/source.h
+++ b/src/config/source.h
@@ -11,7 +11,8 @@
 
 class Source {
   public:
-    Source(net::System& system, std::string path) : system_(system), path_(std::move(path)) {}
+    Source(net::System& system, std::string path, const Surroundings& around = {})
+        : system_(system), path_(std::move(path)), around_(around) {}
     // Throws json::Malformed, which names the file or the faulty key.
     Launch read();
     // The list of hosts in the file as last read.
@@ -20,6 +21,7 @@
   private:
     net::System& system_;
     std::string path_, text_;
+    Surroundings around_;
     json::Document file_;
 };
 
--- a/src/discovery/http_lines.cpp
+++ b/src/discovery/http_lines.cpp
@@ -1,26 +1,14 @@
 #include "discovery/http_lines.h"
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 
-namespace lemonstair::discovery {
-
-namespace {
-
-bool same_word(std::string_view a, std::string_view b) {
-    const auto lower = [](char c) { return std::tolower(static_cast<unsigned char>(c)); };
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                      [&](char x, char y) { return lower(x) == lower(y); });
-}
+#include "http/words.h"
 
-std::string_view trimmed(std::string_view text) {
-    const auto from = text.find_first_not_of(" \t");
-    if (from == std::string_view::npos) return {};
-    return text.substr(from, text.find_last_not_of(" \t") - from + 1);
-}
+namespace lemonstair::discovery {
 
-}  // namespace
+using http::same_word;
+using http::trimmed;
 
 void HttpLines::head(std::string_view& bytes) {
     const auto end = bytes.find('\n');
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,7 +6,7 @@
 
 namespace lemonstair::net {
 
-std::uint32_t Loop::add(int fd, short events, Waiter& waiter, std::uint64_t token) {
+std::uint32_t Loop::add(int fd, short events, Waiter& waiter, std::uint64_t token, Turn turn) {
     if (free_.empty()) {
         free_.push_back(static_cast<std::uint32_t>(polled_.size()));
         polled_.push_back({-1, 0, 0});
@@ -17,6 +17,7 @@
     polled_[slot] = {fd, events, 0};
     uses_[slot].waiter = &waiter;
     uses_[slot].token = token;
+    uses_[slot].turn = turn;
     return slot;
 }
 
@@ -31,6 +32,7 @@
     tick();
     Tenths span = 10000;
     if (!timers_.empty()) span = std::clamp<Tenths>(timers_.top().at - now_, 0, span);
+    first_.clear();
     happened_.clear();
     const int n = system_.poll(polled_, span);
     if (n < 0 && errno != EINTR && errno != EAGAIN)
@@ -38,7 +40,8 @@
     for (std::uint32_t slot = 0, left = n > 0 ? static_cast<std::uint32_t>(n) : 0;
          left > 0 && slot < polled_.size(); ++slot) {
         if (polled_[slot].revents == 0) continue;
-        happened_.push_back({slot, uses_[slot].serial, polled_[slot].revents});
+        (uses_[slot].turn == Turn::first ? first_ : happened_)
+            .push_back({slot, uses_[slot].serial, polled_[slot].revents});
         // Guards against spinning: poll tells of a connection that is over both ways whatever is asked of it,
         // and its reader may wait for room elsewhere. It is told once, and again when something is wanted of
         // it.
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -24,12 +24,15 @@
     virtual void due(std::uint64_t token) = 0;
 };
 
+// Whose events go first in a pass: what must be answered soon whatever the rest brings.
+enum class Turn : std::uint8_t { usual, first };
+
 class Loop {
   public:
     explicit Loop(System& system) : system_(system) {}
     System& system() const { return system_; }
     Tenths now() const { return now_; }
-    std::uint32_t add(int fd, short events, Waiter& waiter, std::uint64_t token);
+    std::uint32_t add(int fd, short events, Waiter& waiter, std::uint64_t token, Turn turn = Turn::usual);
     void wait_for(std::uint32_t slot, short events) {
         polled_[slot].events = events;
         if (events != 0 && polled_[slot].fd < 0) polled_[slot].fd = ~polled_[slot].fd;
@@ -40,18 +43,21 @@
         timers_.push({when, order_++, &waiter, token});
     }
     std::size_t timers() const { return timers_.size(); }
-    std::size_t descriptors() const { return polled_.size() - free_.size(); }
+    // In the loop, and beside those held back for a purpose.
+    std::size_t descriptors() const { return polled_.size() - free_.size() + set_aside_; }
+    void set_aside(std::size_t descriptors) { set_aside_ = descriptors; }
     // One pass: waits, then calls each waiter whose descriptor is ready or whose timer is due, and `after`
     // when it returns.
     template <class After>
     void turn(After&& after) {
         wait();
-        for (const auto& event : happened_) {
-            if (uses_[event.slot].serial != event.serial || uses_[event.slot].waiter == nullptr) continue;
-            tick();
-            uses_[event.slot].waiter->ready(uses_[event.slot].token, event.events);
-            after();
-        }
+        for (const auto* events : {&first_, &happened_})
+            for (const auto& event : *events) {
+                if (uses_[event.slot].serial != event.serial || uses_[event.slot].waiter == nullptr) continue;
+                tick();
+                uses_[event.slot].waiter->ready(uses_[event.slot].token, event.events);
+                after();
+            }
         tick();
         while (!timers_.empty() && timers_.top().at <= now_) {
             const Timer timer = timers_.top();
@@ -67,6 +73,7 @@
         Waiter* waiter = nullptr;
         std::uint64_t token = 0;
         std::uint32_t serial = 0;
+        Turn turn = Turn::usual;
     };
     struct Event {
         std::uint32_t slot, serial;
@@ -89,7 +96,8 @@
     std::vector<pollfd> polled_;
     std::vector<Use> uses_;
     std::vector<std::uint32_t> free_;
-    std::vector<Event> happened_;
+    std::vector<Event> first_, happened_;
+    std::size_t set_aside_ = 0;
     std::priority_queue<Timer> timers_;
     std::uint64_t order_ = 0;
 };
@@ -98,10 +106,10 @@
 class Socket {
   public:
     Socket() = default;
-    Socket(Loop& loop, Fd fd, short events, Waiter& waiter, std::uint64_t token)
+    Socket(Loop& loop, Fd fd, short events, Waiter& waiter, std::uint64_t token, Turn turn = Turn::usual)
         : loop_(&loop),
           fd_(std::move(fd)),
-          slot_(loop.add(fd_.get(), events, waiter, token)),
+          slot_(loop.add(fd_.get(), events, waiter, token, turn)),
           events_(events) {}
     Socket(Socket&& other) noexcept
         : loop_(other.loop_), fd_(std::move(other.fd_)), slot_(other.slot_), events_(other.events_) {}
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,6 +6,9 @@
 #include <array>
 #include <csignal>
 #include <sstream>
+#include <system_error>
+
+#include "operators/figures.h"
 
 namespace lemonstair::node {
 
@@ -18,8 +21,19 @@
 
 enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer, costs_timer };
 
+// Opens what listens at a configured address; a fault names the key.
+template <class Open>
+void open_at(const char* key, Open&& open) {
+    try {
+        open();
+    } catch (const std::system_error& e) {
+        throw json::Malformed(
+            std::string("configuration: field '").append(key).append("': ").append(e.what()));
+    }
+}
+
 std::string_view name_of(int phase) {
-    constexpr std::array<std::string_view, 4> names{"starting", "serving", "leaving", "left"};
+    constexpr std::array<std::string_view, 5> names{"starting", "serving", "drained", "leaving", "left"};
     return names[static_cast<std::size_t>(phase)];
 }
 
@@ -40,6 +54,7 @@
       orders_(loop_, peers_, log_),
       watch_(loop_, stages_.floor.pool, launch_.discovery, *this, log_, costs_),
       prober_(loop_, stages_.floor.pool, hosts_, *this, launch_, costs_),
+      desk_(loop_, *this, log_),
       balancer_(decider(launch_.terms, orders_, loop_.now())),
       rng_(launch_.terms.seed),
       signals_(loop_, system.signals(), POLLIN, *this, 0) {
@@ -47,9 +62,11 @@
     stages_.floor.balancer = balancer_.get();
     const json::Value list = known.told_as("known");
     if (list.type() == json::Type::object) hosts_.take(list, stages_.floor.mind(), true);
-    stages_.take_in.listen_on(launch_.listen);
-    for (const auto& [timer, every] :
-         {std::pair{look_over_timer, look_over_every}, {tally_timer, tally_every}, {costs_timer, costs_every}})
+    open_at("listen", [&] { stages_.take_in.listen_on(launch_.listen); });
+    if (launch_.admin) open_at("admin_addr", [&] { desk_.open(*launch_.admin, launch_.callers); });
+    for (const auto& [timer, every] : {std::pair{look_over_timer, look_over_every},
+                                       {tally_timer, tally_every},
+                                       {costs_timer, costs_every}})
         loop_.at(loop_.now() + every, *this, timer);
     if (!launch_.terms.must_ask) watch_.open(hosts_.revision());
     go(Phase::serving);
@@ -61,6 +78,30 @@
                 << name_of(static_cast<int>(to)) << ", " << hosts_.size() << " hosts known, " << floor.in_hand
                 << " tunnels, room for " << stages_.admit.room();
     phase_ = to;
+    stages_.floor.ready = ready();
+    if (to == Phase::drained || to == Phase::leaving) emptying_since_ = loop_.now();
+}
+
+std::string_view Node::phase() const { return name_of(static_cast<int>(phase_)); }
+
+std::string Node::figures() const {
+    const Census hosts = balancer_->census();
+    return operators::write_figures({.profiles = launch_.profiles,
+                                     .outcomes = stages_.floor.outcomes,
+                                     .open = stages_.floor.admitted,
+                                     .listed = hosts.listed,
+                                     .avoided = hosts.avoided});
+}
+
+// A node that leaves says no already.
+bool Node::drain() {
+    if (phase_ == Phase::serving) go(Phase::drained);
+    return true;
+}
+
+bool Node::take_again() {
+    if (phase_ == Phase::drained) go(Phase::serving);
+    return ready();
 }
 
 void Node::run() {
@@ -131,9 +172,7 @@
 }
 
 void Node::leave() {
-    if (phase_ != Phase::serving) return;
-    leaving_since_ = loop_.now();
-    go(Phase::leaving);
+    if (phase_ == Phase::serving || phase_ == Phase::drained) go(Phase::leaving);
 }
 
 // Guards against a new configuration that is faulty, or was caught half written: the old one stays. Discovery
@@ -187,7 +226,7 @@
 void Node::look_over() {
     loop_.at(loop_.now() + look_over_every, *this, look_over_timer);
     stages_.relay.look_over();
-    if (phase_ != Phase::leaving || loop_.now() - leaving_since_ < move_after) return;
+    if (phase_ != Phase::leaving || loop_.now() - emptying_since_ < move_after) return;
     if (stages_.floor.admitted + stages_.floor.departing == 0) return go(Phase::left);
     // Packets that pass go on through another node: there a move would only break what goes on unbroken.
     if (!launch_.packets_pass) move_all();
@@ -196,7 +235,7 @@
 // Spread over a second, so that not all clients come again at once, and over well before the end.
 void Node::move_all() {
     auto& floor = stages_.floor;
-    const Tenths since = loop_.now() - leaving_since_ - move_after;
+    const Tenths since = loop_.now() - emptying_since_ - move_after;
     const Tenths left = std::max<Tenths>(move_within - since, 1);
     const auto rounds = static_cast<std::size_t>(1 + left / look_over_every);
     std::size_t quota = floor.in_hand / rounds + 1;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,12 +16,13 @@
 #include "net/loop.h"
 #include "node/orders.h"
 #include "node/peer_link.h"
+#include "operators/desk.h"
 #include "probe/prober.h"
 #include "tunnel/stages.h"
 
 namespace lemonstair::node {
 
-class Node final : discovery::Hearer, probe::Hearer, net::Waiter {
+class Node final : discovery::Hearer, probe::Hearer, operators::Staffed, net::Waiter {
   public:
     // Reads anew what the node is told; throws json::Malformed, which names the faulty key.
     using Reread = std::function<config::Launch()>;
@@ -36,17 +37,21 @@
 
     // What it holds; nothing but timers that come again when it is empty.
     struct Holds {
-        std::size_t tunnels, buffers, timers;
+        std::size_t tunnels, buffers, timers, callers, descriptors;
     };
     const account::Costs& costs() const { return costs_; }
-    Holds holds() const { return {stages_.floor.in_hand, stages_.floor.pool.out(), loop_.timers()}; }
+    Holds holds() const {
+        return {stages_.floor.in_hand, stages_.floor.pool.out(), loop_.timers(), desk_.callers(),
+                loop_.descriptors()};
+    }
 
   private:
-    enum class Phase : std::uint8_t { starting, serving, leaving, left };
+    // Drained: operators sent its clients away, and it takes them again when they say so.
+    enum class Phase : std::uint8_t { starting, serving, drained, leaving, left };
     void go(Phase to);
     void carry_out(const Orders::Order& order);
     void look_over();
-    void tell_costs();  // what was added since the last line
+    void tell_costs();              // what was added since the last line
     void tell_list(ListKind kind);  // without entries
     void move_all();
     void renew();
@@ -56,6 +61,11 @@
     void nothing_new() override;
     void watch_lost() override;
     void probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report) override;
+    bool ready() const override { return phase_ == Phase::serving; }
+    std::string_view phase() const override;
+    std::string figures() const override;
+    bool drain() override;
+    bool take_again() override;
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
 
@@ -70,11 +80,12 @@
     Orders orders_;
     discovery::Watch watch_;
     probe::Prober prober_;
+    operators::Desk desk_;
     std::unique_ptr<Balancer> balancer_;
     std::minstd_rand rng_;
     net::Socket signals_;
     Phase phase_ = Phase::starting;
-    Tenths leaving_since_ = 0;
+    Tenths emptying_since_ = 0;  // drained or leaving
     int failed_calls_ = 0;
 };
 
--- /dev/null
+++ b/src/operators/desk.cpp
@@ -0,0 +1,147 @@
+#include "operators/desk.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace lemonstair::operators {
+
+namespace {
+
+using net::Tenths;
+
+// Who has not said its call, taken its answer or ended by then goes; looked after in such steps.
+constexpr Tenths longest_call = 20000, longest_answer = 20000, longest_leaving = 5000, look_every = 2500;
+constexpr Tenths moment_to_log = 100000;
+constexpr int accepts_a_pass = 64;
+constexpr std::uint64_t listener_token = ~std::uint64_t{0};
+
+}  // namespace
+
+void Desk::open(const net::Address& at, std::size_t callers) {
+    callers_.resize(callers);
+    listener_ =
+        net::Socket(loop_, loop_.system().listen_on(at), POLLIN, *this, listener_token, net::Turn::first);
+    loop_.set_aside(callers);
+}
+
+void Desk::ready(std::uint64_t token, short) {
+    if (token == listener_token) return accept();
+    Caller& caller = callers_[static_cast<std::uint32_t>(token)];
+    switch (caller.state) {
+        case State::away:
+            return;
+        case State::calling:
+            return hear(caller);
+        case State::told:
+            return write(caller);
+        case State::leaving:
+            return discard(caller);
+    }
+}
+
+// One function for all changes of a caller's state.
+void Desk::go(Caller& caller, State to) {
+    const bool was_here = caller.state != State::away, is_here = to != State::away;
+    if (is_here != was_here) {
+        here_ += is_here ? 1 : std::size_t{0} - 1;
+        // What a caller holds is no longer held back for it.
+        loop_.set_aside(callers_.size() - here_);
+    }
+    caller.state = to;
+    caller.since = loop_.now();
+    if (is_here) return;
+    caller.socket.close();
+    caller.request = {};
+    caller.answer.clear();
+}
+
+void Desk::accept() {
+    for (int i = 0; i < accepts_a_pass; ++i) {
+        if (here_ == callers_.size() && !make_room()) return;
+        net::Fd fd = listener_.accept();
+        if (!fd.open()) return;
+        const auto place = std::find_if(callers_.begin(), callers_.end(),
+                                        [](const Caller& c) { return c.state == State::away; });
+        place->socket = net::Socket(loop_, std::move(fd), POLLIN, *this,
+                                    static_cast<std::uint64_t>(place - callers_.begin()), net::Turn::first);
+        go(*place, State::calling);
+        if (!std::exchange(watched_, true)) loop_.at(loop_.now() + look_every, *this, 0);
+        hear(*place);  // mostly its call is here already
+    }
+}
+
+// Guards against callers that come by thousands and say nothing, or half a call: the one that has been here
+// longest goes. One whose call has come, unread, is heard first.
+bool Desk::make_room() {
+    const auto gives_way = [](const Caller& a, const Caller& b) {
+        const bool speaks_a = a.state == State::told, speaks_b = b.state == State::told;
+        return speaks_a != speaks_b ? speaks_b : a.since < b.since;
+    };
+    Caller& oldest = *std::min_element(callers_.begin(), callers_.end(), gives_way);
+    if (oldest.state == State::calling) {
+        hear(oldest);
+        if (here_ < callers_.size()) return true;
+    }
+    ++turned_away_;
+    if (loop_.now() - logged_at_ > moment_to_log) {
+        logged_at_ = loop_.now();
+        log_.info() << "operators' desk is full, " << here_ << " callers: the one here longest gives way, "
+                    << turned_away_ << " so far";
+    }
+    go(oldest, State::away);
+    return true;
+}
+
+void Desk::hear(Caller& caller) {
+    std::array<char, 4096> bytes;
+    const auto got = caller.socket.read(bytes);
+    if (got.error != 0) return go(caller, State::away);
+    caller.request.feed({bytes.data(), got.bytes});
+    if (caller.request.whole() || caller.request.fault() != http::Fault::none)
+        return tell(caller, answer(caller.request, node_));
+    if (got.ended) go(caller, State::away);
+}
+
+void Desk::tell(Caller& caller, std::string&& text) {
+    caller.answer = std::move(text);
+    go(caller, State::told);
+    write(caller);
+}
+
+void Desk::write(Caller& caller) {
+    const auto sent = caller.socket.write(caller.answer);
+    if (sent.error != 0) return go(caller, State::away);
+    caller.answer.erase(0, sent.bytes);
+    if (!caller.answer.empty()) return caller.socket.wait_for(POLLOUT);
+    // Closing over unread input would make a reset, and that can overtake the answer.
+    caller.socket.end_sending();
+    caller.socket.wait_for(POLLIN);
+    go(caller, State::leaving);
+}
+
+void Desk::discard(Caller& caller) {
+    const auto got = caller.socket.discard();
+    if (got.ended || got.error != 0) go(caller, State::away);
+}
+
+void Desk::due(std::uint64_t) {
+    for (Caller& caller : callers_) {
+        const Tenths age = loop_.now() - caller.since;
+        if (caller.state == State::calling && age >= longest_call) {
+            if (caller.request.untouched())
+                go(caller, State::away);
+            else
+                tell(caller, answer_to_half());
+        } else if ((caller.state == State::told && age >= longest_answer) ||
+                   (caller.state == State::leaving && age >= longest_leaving)) {
+            go(caller, State::away);
+        }
+    }
+    watched_ = here_ > 0;
+    if (watched_) loop_.at(loop_.now() + look_every, *this, 0);
+}
+
+}  // namespace lemonstair::operators
--- /dev/null
+++ b/src/operators/desk.h
@@ -0,0 +1,55 @@
+// The desk: where operators call. Few callers at a time, on descriptors set aside for them, each heard and
+// answered before clients are in a pass of the loop.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "http/request.h"
+#include "log/log.h"
+#include "net/loop.h"
+#include "operators/calls.h"
+
+namespace lemonstair::operators {
+
+class Desk final : public net::Waiter {
+  public:
+    Desk(net::Loop& loop, Staffed& node, log::Log& log) : loop_(loop), node_(node), log_(log) {}
+    // At most so many callers at a time. Throws std::system_error where the address cannot be had.
+    void open(const net::Address& at, std::size_t callers);
+    std::size_t callers() const { return here_; }
+
+    void ready(std::uint64_t token, short events) override;
+    void due(std::uint64_t token) override;
+
+  private:
+    // Away; its call is awaited; its answer goes out; what it still says is thrown away until it ends.
+    enum class State : std::uint8_t { away, calling, told, leaving };
+    struct Caller {
+        net::Socket socket;
+        http::Request request;
+        std::string answer;
+        net::Tenths since = 0;
+        State state = State::away;
+    };
+    void accept();
+    bool make_room();
+    void go(Caller& caller, State to);
+    void hear(Caller& caller);
+    void tell(Caller& caller, std::string&& text);
+    void write(Caller& caller);
+    void discard(Caller& caller);
+
+    net::Loop& loop_;
+    Staffed& node_;
+    log::Log& log_;
+    net::Socket listener_;
+    std::vector<Caller> callers_;  // places, as many as there may be
+    std::size_t here_ = 0;
+    bool watched_ = false;  // the timer that looks after slow callers runs
+    std::uint64_t turned_away_ = 0;
+    net::Tenths logged_at_ = 0;
+};
+
+}  // namespace lemonstair::operators
--- /dev/null
+++ b/src/operators/figures.h
@@ -0,0 +1,22 @@
+// The figures that operators fetch, written in their words.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "account/outcomes.h"
+
+namespace lemonstair::operators {
+
+struct Figures {
+    const std::vector<std::string>& profiles;
+    const account::Outcomes& outcomes;
+    std::size_t open = 0;                   // tunnels taken and not ended
+    std::uint32_t listed = 0, avoided = 0;  // hosts
+};
+
+std::string write_figures(const Figures& figures);
+
+}  // namespace lemonstair::operators
--- a/src/tunnel/book.cpp
+++ b/src/tunnel/book.cpp
@@ -23,6 +23,7 @@
 
 void Book::decline(Id id, Tenths come_back_after) {
     ++floor_.tally.declined;
+    floor_.find(id)->outcome = account::Outcome::declined;
     if (come_back_after < 10) return answer(id, "BUSY\r\n");
     std::array<char, 40> line{'B', 'U', 'S', 'Y', ' '};
     char* end = std::to_chars(line.data() + 5, line.data() + line.size(), come_back_after / 10).ptr;
@@ -33,6 +34,7 @@
 
 void Book::close_with_error(Id id) {
     ++floor_.tally.failed;
+    floor_.find(id)->outcome = account::Outcome::closed_with_error;
     answer(id, "ERR\r\n");
 }
 
--- a/src/tunnel/floor.cpp
+++ b/src/tunnel/floor.cpp
@@ -37,6 +37,15 @@
     names.put(t.name, spent);
 }
 
+// A tunnel counts once, as its client was answered; one whose line named no profile is nobody's.
+void Floor::count_outcome(Tunnel& t, State to) {
+    if (!t.classed) return;
+    if (to == State::relaying) t.outcome = account::Outcome::opened;
+    if (t.outcome == account::Outcome::none) return;
+    outcomes.count(t.profile, t.outcome);
+    t.classed = false;
+}
+
 void Floor::go(Id id, State to) {
     Tunnel& t = *find(id);
     const auto counts = [](State s) {
@@ -47,6 +56,7 @@
         --admitted;
         let_go(t, static_cast<std::uint32_t>(id));
     }
+    count_outcome(t, to);
     if (t.state == State::departing) --departing;
     if (to == State::departing) ++departing;
     log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << ": " << name_of(t.state) << " -> "
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "account/costs.h"
+#include "account/outcomes.h"
 #include "balance/balance.h"
 #include "balance/id_index.h"
 #include "balance/slab.h"
@@ -31,7 +32,13 @@
 struct Floor {
     Floor(net::Loop& with, net::Waiter& stages, const config::Launch& by, discovery::Hosts& of, log::Log& to,
           account::Costs& counts)
-        : loop(with), waiter(stages), launch(by), hosts(of), log(to), costs(counts) {}
+        : loop(with),
+          waiter(stages),
+          launch(by),
+          hosts(of),
+          log(to),
+          costs(counts),
+          outcomes(by.profiles.size()) {}
 
     Id id_of(std::uint32_t at) const { return Id{tunnels.serial(at) & 0x7fffffffU} << 32 | at; }
     // Nothing where the tunnel is no more.
@@ -80,7 +87,9 @@
     // spent.
     static constexpr std::uint32_t spent = IdIndex::none - 1;
     IdIndex names;
+    account::Outcomes outcomes;
     Tally tally;
+    bool ready = false;        // what PING is told
     std::size_t in_hand = 0;   // tunnels that are not free
     std::size_t admitted = 0;  // of these, those past their first line and before their last words
     std::size_t departing = 0;
@@ -94,6 +103,7 @@
     bool comes_in(Tunnel& t);
 
   private:
+    void count_outcome(Tunnel& t, State to);
     void let_go(Tunnel& t, std::uint32_t place);
     std::array<std::uint64_t, 1024> spent_names_{};
     std::size_t next_spent_ = 0;
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -95,6 +95,7 @@
     if (!t.up.waiting.empty()) return;
     t.up.waiting.give_back();
     t.host.wait_for(POLLIN);
+    ++floor_.outcomes.of[t.profile].setups_written;
     floor_.go(id, State::awaiting_answer);
     floor_.set_due(id, t, t.setup_until);
 }
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -98,7 +98,7 @@
 bool TakeIn::line(Id id, std::string_view text) {
     Tunnel& t = *floor_.find(id);
     if (text == "PING") {
-        constexpr std::string_view pong = "PONG\r\n";
+        const std::string_view pong = floor_.ready ? "PONG\r\n" : "BUSY\r\n";
         if (++t.pings > most_pings) return book_.turn_away(id), false;
         if (!say(t, pong)) return book_.drop(id), false;
         // Who asks and stays has what it came for: by thousands they would make each pass of the loop dear.
@@ -115,6 +115,8 @@
         floor_.log.debug() << "a client's first line cannot be taken";
         return book_.turn_away(id), false;
     }
+    t.profile = arrival.profile;
+    t.classed = true;
     if (t.at_door && !floor_.comes_in(t)) {
         ++floor_.tally.taken, ++floor_.tally.busy;
         return book_.decline(id, 0), false;
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "account/outcomes.h"
 #include "balance/balance.h"
 #include "net/buffer_pool.h"
 #include "net/loop.h"
@@ -48,11 +49,14 @@
     std::uint32_t place = 0;      // of the host that it is set up at
     std::uint32_t owed = 0;       // client lines that no line from the host has followed
     std::uint32_t discarded = 0;  // bytes that came after its last words
+    std::uint32_t profile = 0;    // once its first line was read
     int setups = 0;
     int pings = 0;
     std::array<char, 32> head{};  // the beginning of the host's line at hand
     std::uint8_t head_size = 0;
     State state = State::free;
+    account::Outcome outcome = account::Outcome::none;  // its client's final answer; counted once it has it
+    bool classed = false;            // its first line was read, and named a profile
     Ending ending = Ending::broken;  // what the module hears when it is over
     bool standing = false;           // open at its host before the start: goes there, without a decision
     bool at_door = false;            // there was no descriptor for it: it is told so and let go
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -201,9 +201,10 @@
         int sockets = 256;
         bool probing = false;
         int log = -1;
+        bool operators = false;
     };
     Door a, b, discovery;
-    std::string name = Door().name();
+    std::string name = Door().name(), desk = Door().name();
     net::Kernel kernel;
     log::Descriptor drain;
     log::Log log;
@@ -216,7 +217,7 @@
     Town() : Town(Terms{}) {}
     explicit Town(const Terms& t) : drain(t.log), log(log::Level::error, drain) {
         text = R"({"name":"n0","listen":")" + name + R"(","discovery":")" + discovery.name() +
-               R"(","seed":"8c1f","limits":{"sockets":)" + std::to_string(t.sockets) +
+               (t.operators ? R"(","admin_addr":")" + desk : "") + R"(","seed":"8c1f","limits":{"sockets":)" + std::to_string(t.sockets) +
                R"(},"known":{"revision":4,"complete":true,"members":[)" + member("a", a) + "," +
                member("b", b) +
                R"(]},"settings":{"balancers":1,"me":0,"zone":0,"zones":["z"],"granularity":0.005,)" +
@@ -258,6 +259,24 @@
         if (!line.empty()) e.say(line);
         return e;
     }
+    // Somebody who operates the node.
+    End caller(std::string_view call = "") const {
+        End e{net::connect_to(*net::parse_address(desk)), {}};
+        pollfd up{e.fd.get(), POLLOUT, 0};
+        ::poll(&up, 1, 1000);
+        if (!call.empty()) e.say(call);
+        return e;
+    }
+    // The whole answer to a call.
+    std::string call(std::string_view text) {
+        End e = caller(text);
+        until([&] { return e.over(); });
+        return e.got;
+    }
+    std::string get(const std::string& path) { return call("GET " + path + " HTTP/1.1\r\nHost: n\r\n\r\n"); }
+    std::string post(const std::string& path) {
+        return call("POST " + path + " HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n");
+    }
     // The setup that reaches one of the two hosts, at either.
     End setup(const Door** at = nullptr) {
         End e;
--- a/tests/spoilt.h
+++ b/tests/spoilt.h
@@ -170,6 +170,7 @@
         real_->told(node, bytes);
     }
     void woken(std::uint64_t label) override { real_->woken(label); }
+    Census census() const override { return real_->census(); }
 
     // ---- from the module
     void set_up(std::uint64_t tun, std::uint32_t ep, Tenths max_wait) override {
