A drained node moves its clients as one that leaves does; attempts told in one figure

Need: where connections end at the node the rule on lost connections wants each client moved 4 s after the call; a drained node moved nobody (Node::look_over asked for leaving only).

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr Tenths look_over_every = 2500, tally_every = 100000, costs_every = 10000;
-// After the word to leave the front goes on sending clients for a while; those are moved with the rest.
+// After the word to leave, or the first no, the front goes on sending clients for a while; those are moved
+// with the rest.
 constexpr Tenths move_after = 5000, move_within = 10000;
 constexpr Tenths first_pause = 2500, longest_pause = 50000;
 
@@ -226,8 +227,10 @@
 void Node::look_over() {
     loop_.at(loop_.now() + look_over_every, *this, look_over_timer);
     stages_.relay.look_over();
-    if (phase_ != Phase::leaving || loop_.now() - emptying_since_ < move_after) return;
-    if (stages_.floor.admitted + stages_.floor.departing == 0) return go(Phase::left);
+    if ((phase_ != Phase::drained && phase_ != Phase::leaving) || loop_.now() - emptying_since_ < move_after)
+        return;
+    if (phase_ == Phase::leaving && stages_.floor.admitted + stages_.floor.departing == 0)
+        return go(Phase::left);
     // Packets that pass go on through another node: there a move would only break what goes on unbroken.
     if (!launch_.packets_pass) move_all();
 }
--- a/src/operators/figures.cpp
+++ b/src/operators/figures.cpp
@@ -19,7 +19,10 @@
         figure("faulted", row.closed_with_error, ",");
         figure("relayed", row.setups_written, "}");
     }
+    std::uint64_t written = 0;
+    for (const auto& row : f.outcomes.of) written += row.setups_written;
     out += "},";
+    figure("relayed", written, ",");
     figure("open_requests", f.open, ",");
     figure("registry_entries", f.listed, ",");
     figure("out_of_rotation", f.avoided, "}");
--- a/tests/operators.cpp
+++ b/tests/operators.cpp
@@ -149,6 +149,7 @@
     f = town.get("/stats");
     CHECK(figure(f, "fulfilled") == 2);
     CHECK(figure(f, "relayed") == 3);
+    CHECK(f.find(R"(},"relayed":3,)") != std::string::npos);  // of all classes, beside each class's own
     CHECK(figure(f, "open_requests") == 3);
     asked.say("BUSY\r\n");
     for (int i = 0; i < 2; ++i) town.setup().say("BUSY\r\n");
@@ -269,3 +270,63 @@
     CHECK(!without.caller("GET /stats HTTP/1.1\r\n\r\n").heard("HTTP"));
     CHECK(without.node->holds().descriptors < with.node->holds().descriptors);
 }
+
+TEST_CASE("a drained node moves its clients between two lines, stays, and takes clients again") {
+    Town town({.mode = "proxy", .operators = true});
+    auto [c, h] = town.opened();
+    auto [c2, h2] = town.opened();
+    h2.say("half a li");  // its host is in the middle of a line, and then says nothing more
+    CHECK(town.until([&] { return c2.heard("half a li"); }));
+    End waits = town.client(town.line());
+    End asked = town.setup();
+    CHECK(status_of(town.post("/healthcheck/fail")) == 200);
+    const auto from = std::chrono::steady_clock::now();
+    // Who came before the no is served, and moved when it is open.
+    asked.say("UP r\r\n");
+    CHECK(town.until([&] { return waits.heard("UP r\r\n"); }));
+    CHECK(town.until([&] { return c.over() && waits.over() && c2.over(); }, 4000));
+    CHECK(std::chrono::steady_clock::now() - from < std::chrono::milliseconds(3500));
+    CHECK(c.got == "MOVE\r\n");
+    CHECK(waits.got == "UP r\r\nMOVE\r\n");
+    CHECK(!c.reset);
+    CHECK(h.over());
+    town.pass(1200);
+    CHECK(town.runs);
+    CHECK(figure(town.get("/stats"), "open_requests") == 0);
+    CHECK(status_of(town.post("/healthcheck/ok")) == 200);
+    auto [c3, h3] = town.opened();
+    town.pass(1500);
+    CHECK(!c3.over());
+}
+
+TEST_CASE("a drain that is taken back half way moves nobody from then on") {
+    Town town({.mode = "proxy", .operators = true});
+    auto [c, h] = town.opened();
+    town.post("/healthcheck/fail");
+    town.pass(100);
+    town.post("/healthcheck/ok");
+    town.pass(2000);
+    CHECK(!c.over());
+    c.say("still here\r\n");
+    CHECK(town.until([&] { return h.heard("still here\r\n"); }));
+}
+
+TEST_CASE("where packets pass a drained node keeps what it carries") {
+    Town town({.mode = "pass", .operators = true});
+    auto [c, h] = town.opened();
+    town.post("/healthcheck/fail");
+    town.pass(2500);
+    CHECK(!c.over());
+    h.say("on\r\n");
+    CHECK(town.until([&] { return c.heard("on\r\n"); }));
+}
+
+TEST_CASE("SIGTERM while drained makes it leave") {
+    Town town({.mode = "proxy", .operators = true});
+    auto [c, h] = town.opened();
+    town.post("/healthcheck/fail");
+    town.pass(100);
+    std::raise(SIGTERM);
+    CHECK(town.until([&] { return c.over() && !town.runs; }, 4000));
+    CHECK(c.got == "MOVE\r\n");
+}
