--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -7,6 +7,7 @@
 
 #include <cmath>
 
+#include "balance/carry.h"
 #include "balance/state.h"
 
 namespace lemonstair {
@@ -868,6 +869,25 @@
         if (tuns[at].state == State::looking_up || tuns[at].state == State::holding) release(at);
     }
 
+    // ---- another process takes the node's place
+    void remember(std::string& into) const override { carry::write(into, *this); }
+    bool take_over(std::string_view told) override { return carry::read(told, *this); }
+    bool hand_over(std::uint64_t id, std::string& into) const override {
+        const std::uint32_t at = tun_index.find(id);
+        if (at != none && tuns[at].state == State::standing) carry::write(into, tuns[at], eps[tuns[at].ep].id);
+        return at != none && tuns[at].state == State::standing;
+    }
+    bool taken_over(std::uint64_t id, std::string_view told) override {
+        Tun t{.id = id, .setups = 1};
+        t.ep = ep_index.find(carry::read(told, t));
+        if (t.ep == none || t.profile >= terms.profiles.size()) return false;
+        const std::uint32_t at = tuns.take();
+        tuns[at] = t;
+        tun_index.put(id, at);
+        go(at, State::standing);
+        return true;
+    }
+
     // ---- what is learned on the way
     void load_changed(std::uint64_t id, double load) override {
         const std::uint32_t at = tun_index.find(id);
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -6,6 +6,7 @@
 #include <limits>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -148,6 +149,13 @@
     virtual void told(std::uint32_t node, std::span<const std::uint8_t> bytes) = 0;
     virtual void woken(std::uint64_t label) = 0;
     virtual Census census() const = 0;
+    // Another process takes the node's place: what it is to remember, as bytes; and what it heard so, before
+    // anything else happens. False where the bytes cannot be read: then it has to begin anew.
+    virtual void remember(std::string& into) const = 0;
+    virtual bool take_over(std::string_view told) = 0;
+    // An open tunnel goes over too: what is known of it (false where that is nothing), and what was heard.
+    virtual bool hand_over(std::uint64_t tun, std::string& into) const = 0;
+    virtual bool taken_over(std::uint64_t tun, std::string_view told) = 0;
 };
 
 }  // namespace lemonstair
--- a/src/balance/group_table.h
+++ b/src/balance/group_table.h
@@ -41,6 +41,14 @@
         return n == IdIndex::none ? 0 : n;
     }
 
+    // Calls each(group, ep, when it was told) for each home of a group.
+    template <class Each>
+    void each_home(Each&& each) const {
+        for (std::size_t at = 0; at < groups_.size(); ++at)
+            for (const Place& p : places_[at])
+                if (p.home_at >= 0) each(groups_[at], p.ep, p.home_at);
+    }
+
   private:
     Place& place(std::uint32_t group, std::uint32_t ep) {
         std::uint32_t at = index_.find(group);
@@ -48,6 +56,7 @@
             at = static_cast<std::uint32_t>(places_.size());
             places_.emplace_back();
             index_.put(group, at);
+            groups_.push_back(group);
         }
         for (auto& p : places_[at])
             if (p.ep == ep) return p;
@@ -55,6 +64,7 @@
         return places_[at].back();
     }
     IdIndex index_, groups_on_;
+    std::vector<std::uint32_t> groups_;  // in the order of their places
     std::vector<std::vector<Place>> places_;
     std::vector<Place> nowhere_;
 };
--- a/src/balance/record_table.h
+++ b/src/balance/record_table.h
@@ -29,6 +29,7 @@
         std::uint32_t at = index_.find(r.key);
         if (at == IdIndex::none) {
             at = records_.take();
+            ++size_;
             index_.put(r.key, at);
         } else {
             const Record& old = records_[at];
@@ -45,11 +46,18 @@
         count(records_[at], -1);
         index_.drop(key);
         records_.give_back(at);
+        --size_;
     }
     void drop_unheard_since(Tenths when) {
         for (std::uint32_t i = 0; i < records_.places(); ++i)
             if (records_.used(i) && records_[i].heard < when) drop(records_[i].key);
     }
+    std::size_t size() const { return size_; }
+    template <class Each>
+    void each(Each&& each) const {
+        for (std::uint32_t i = 0; i < records_.places(); ++i)
+            if (records_.used(i)) each(records_[i]);
+    }
     GroupTable& groups() { return groups_; }
     const GroupTable& groups() const { return groups_; }
     double sampled_load() const { return sampled_load_; }
@@ -61,6 +69,7 @@
     }
     IdIndex index_;
     Slab<Record> records_;
+    std::size_t size_ = 0;
     GroupTable groups_;
     double sampled_load_ = 0;
 };
--- a/src/config/launch.cpp
+++ b/src/config/launch.cpp
@@ -33,6 +33,24 @@
     return at;
 }
 
+std::optional<int> read_inherited(const Surroundings& around) {
+    if (around.inherited_fd == nullptr || *around.inherited_fd == '\0') return std::nullopt;
+    const std::string_view digits = around.inherited_fd;
+    int fd = -1;
+    const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), fd);
+    if (error != std::errc{} || stop != digits.data() + digits.size() || fd < 0)
+        throw json::Malformed("NODE_INHERITED_FD is not the number of a descriptor");
+    return fd;
+}
+
+// A folder may be shared by the nodes of a machine: the name tells whose it is.
+std::string nearby_name(const json::Value& file, const Surroundings& around) {
+    if (around.tmpdir == nullptr || *around.tmpdir == '\0') return {};
+    std::string name(file.text("listen"));
+    std::replace(name.begin(), name.end(), ':', '-');
+    return std::string(around.tmpdir).append("/lemonstair-").append(name);
+}
+
 std::uint64_t read_seed(const json::Value& file) {
     const auto digits = file.text("seed");
     std::uint64_t seed = 0;
@@ -66,6 +84,8 @@
     l.listen = read_address(file, "listen");
     l.discovery = read_address(file, "discovery");
     l.admin = read_admin(file, around);
+    l.inherited = read_inherited(around);
+    if (l.inherited) l.nearby = nearby_name(file, around);
     l.peer_listen = read_address_if_any(file, "peer_listen");
     l.peers_all = read_address_if_any(file, "peers_all");
     file.each("peers", [&](const json::Value& one) {
--- a/src/config/launch.h
+++ b/src/config/launch.h
@@ -25,6 +25,8 @@
     std::optional<net::Address> peer_listen, peers_all;
     std::optional<net::Address> admin;  // where operators call
     std::size_t callers = 0;            // that may call at a time; descriptors are set aside for them
+    std::optional<int> inherited;       // the clients' listening socket, where the platform holds it
+    std::string nearby;                 // where the process that this one replaces is found; empty: nowhere
     std::vector<net::Address> peers;    // in the order of the nodes' numbers, this one's own among them
     Tenths connect_timeout = 0;
     std::size_t sockets = 0;    // descriptors that the node may hold
@@ -34,7 +36,9 @@
 
 // What the environment tells beside the file; what it names goes before the file's keys.
 struct Surroundings {
-    const char* admin_addr = nullptr;  // $NODE_ADMIN_ADDR
+    const char* admin_addr = nullptr;    // $NODE_ADMIN_ADDR
+    const char* inherited_fd = nullptr;  // $NODE_INHERITED_FD
+    const char* tmpdir = nullptr;        // $TMPDIR
 };
 
 // Throws json::Malformed, which names the faulty key.
--- a/src/discovery/hosts.cpp
+++ b/src/discovery/hosts.cpp
@@ -1,7 +1,11 @@
 #include "discovery/hosts.h"
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
+#include <utility>
 
+#include "json/text.h"
 #include "net/clock.h"
 
 namespace lemonstair::discovery {
@@ -53,6 +57,23 @@
     return true;
 }
 
+std::string Hosts::list() const {
+    std::ostringstream out;
+    out << R"({"revision":)" << revision() << R"(,"complete":true,"members":[)";
+    const char* between = "";
+    for (const Host& h : hosts_) {
+        const char* phase = h.life == Life::in_service ? "in_service"
+                            : h.life == Life::gone     ? "terminated"
+                                                       : "terminating";
+        out << std::exchange(between, ",") << R"({"id":)" << json::quoted(h.id) << R"(,"host_port":")"
+            << net::address_text(h.at) << R"(","locality":)" << json::quoted(h.zone) << R"(,"cell":)"
+            << h.cell << R"(,"phase":")" << phase << R"(","size":)" << std::setprecision(17) << h.size
+            << R"(,"up_since_ms":)" << h.started_ms << '}';
+    }
+    out << "]}";
+    return out.str();
+}
+
 // An old list holds nothing new: taking it whole would bring back what is over. But a service that has
 // restarted may count its lists anew, and what it says of a drain must not be missed: until it has passed the
 // highest number heard, of its lists those entries count by which a host is further on than it was known to
@@ -76,7 +97,10 @@
         const auto ep = static_cast<std::uint32_t>(hash_text(id) & 0x7fffffff);
         if (by_ep_.find(ep) != none) m.fail("id", "has the same number as another's");
         place = static_cast<std::uint32_t>(hosts_.size());
-        hosts_.push_back({.ep = ep, .at = *at});
+        hosts_.emplace_back();
+        hosts_.back().ep = ep;
+        hosts_.back().at = *at;
+        hosts_.back().id = id;
         by_id_.emplace(id, place);
         by_ep_.put(ep, place);
         log_.info() << "host " << id << " at " << m.text("host_port") << " is ep " << ep;
@@ -84,6 +108,9 @@
     if (at) hosts_[place].at = *at;
     hosts_[place].life = life;
     hosts_[place].started_ms = started;
+    hosts_[place].zone = m.text("locality", "");
+    hosts_[place].cell = cell;
+    hosts_[place].size = size;
     balancer.listed(hosts_[place].ep, static_cast<std::uint32_t>(zone - zones_.begin()), cell, life, size,
                     net::tenths_of_unix_ms(std::max<std::int64_t>(started, 0)));
 }
--- a/src/discovery/hosts.h
+++ b/src/discovery/hosts.h
@@ -25,6 +25,9 @@
         net::Address at;
         Life life = Life::in_service;
         std::int64_t started_ms = 0;
+        std::string id, zone;
+        std::uint32_t cell = 0;
+        double size = 1;
         // Within one life of its process a host goes on from service to draining to gone, never back.
         bool is_ahead(Life other, std::int64_t started) const {
             return started != started_ms ? started > started_ms : other > life;
@@ -34,6 +37,8 @@
 
     // Takes one list or one change of it, and tells the Balancer what it holds. False where it is no list.
     bool take(const json::Value& list, Balancer& balancer, bool remembered);
+    // All that is known, gone hosts among it, as a list that another process of this node can take.
+    std::string list() const;
     std::uint64_t revision() const { return revision_.value_or(0); }
     // Another service counts its lists by itself: what it says first is new whatever its number.
     void forget_revision() {
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -34,6 +34,8 @@
         : loop_(loop), pool_(pool), discovery_(discovery), hearer_(hearer), log_(log), costs_(costs) {}
     // Nothing happens where a call is under way or stands.
     void open(std::uint64_t after_revision);
+    // Over, and nobody hears that it is.
+    void stop() { hang_up(); }
     bool is_open() const { return phase_ != Phase::closed; }
     // The list is kept elsewhere from now on: a call to the old place is over. False where it is no other.
     bool move_to(const net::Address& discovery);
--- /dev/null
+++ b/src/handover/line.cpp
@@ -0,0 +1,87 @@
+#include "handover/line.h"
+
+#include <poll.h>
+
+#include <utility>
+
+#include "handover/packets.h"
+
+namespace lemonstair::handover {
+
+namespace {
+
+constexpr std::uint64_t listener_token = ~std::uint64_t{0};
+constexpr int reads_a_pass = 32;
+
+}  // namespace
+
+bool Line::call() {
+    net::Fd fd = loop_.system().connect_nearby(name_);
+    if (!fd.open()) return false;
+    socket_ = net::Socket(loop_, std::move(fd), POLLIN, *this, ++lines_, net::Turn::first);
+    return true;
+}
+
+bool Line::listen() {
+    net::Fd fd = loop_.system().listen_nearby(name_);
+    if (fd.open())
+        listener_ = net::Socket(loop_, std::move(fd), POLLIN, *this, listener_token, net::Turn::first);
+    return listens();
+}
+
+void Line::hang_up() {
+    socket_.close();
+    waiting_.clear();
+}
+
+void Line::send(std::string packet, std::vector<int> descriptors) {
+    if (!stands()) return;
+    waiting_.push_back({std::move(packet), std::move(descriptors)});
+    write();
+}
+
+void Line::ready(std::uint64_t token, short events) {
+    if (token == listener_token) return answer_call();
+    if (!stands()) return;
+    if ((events & POLLOUT) != 0) write();
+    if ((events & (POLLIN | POLLHUP | POLLERR)) != 0) read();
+}
+
+void Line::answer_call() {
+    net::Fd fd = loop_.system().accept_nearby(listener_.fd());
+    if (!fd.open()) return;
+    if (!hearer_.takes_call()) {
+        loop_.system().send_packet(fd.get(), refusal_, {});
+        return;
+    }
+    socket_ = net::Socket(loop_, std::move(fd), POLLIN, *this, ++lines_, net::Turn::first);
+}
+
+// A break is heard when the line is read: who sends is in the middle of something.
+void Line::write() {
+    while (!waiting_.empty()) {
+        const auto sent =
+            loop_.system().send_packet(socket_.fd(), waiting_.front().bytes, waiting_.front().descriptors);
+        if (sent.error != 0) waiting_.clear();
+        if (sent.bytes == 0) break;
+        waiting_.pop_front();
+    }
+    socket_.wait_for(static_cast<short>(POLLIN | (waiting_.empty() ? 0 : POLLOUT)));
+}
+
+void Line::read() {
+    room_.resize(longest_packet);
+    const std::uint64_t line = lines_;
+    for (int i = 0; i < reads_a_pass && stands() && line == lines_; ++i) {
+        std::vector<net::Fd> descriptors;
+        const auto got = loop_.system().receive_packet(socket_.fd(), room_, descriptors);
+        if (got.ended || got.error != 0) {
+            hang_up();
+            return hearer_.broken();
+        }
+        if (got.bytes == 0) return;
+        hearer_.heard({room_.data(), got.bytes}, descriptors);
+    }
+}
+
+}  // namespace lemonstair::handover
--- a/src/net/kernel.cpp
+++ b/src/net/kernel.cpp
@@ -6,6 +6,7 @@
 #include <sys/signalfd.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/un.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -13,6 +14,7 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <cstring>
 #include <system_error>
 
 namespace lemonstair::net {
@@ -38,6 +40,22 @@
     return {.error = not_now(errno) ? 0 : errno};
 }
 
+// A socket's option that is a number; -1 where it has none.
+int option(int fd, int name) {
+    int value = -1;
+    socklen_t size = sizeof value;
+    return ::getsockopt(fd, SOL_SOCKET, name, &value, &size) == 0 ? value : -1;
+}
+
+constexpr std::size_t most_descriptors = 8;  // in a packet
+
+bool nearby(const std::string& name, sockaddr_un& at) {
+    at.sun_family = AF_UNIX;
+    if (name.empty() || name.size() >= sizeof at.sun_path) return errno = ENAMETOOLONG, false;
+    std::memcpy(at.sun_path, name.c_str(), name.size() + 1);
+    return true;
+}
+
 sigset_t answered_signals() {
     sigset_t set;
     sigemptyset(&set);
@@ -106,7 +124,8 @@
 std::uint64_t Kernel::processor_us() {
     timespec used{};
     if (::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used) != 0) return 0;
-    return static_cast<std::uint64_t>(used.tv_sec) * 1000000 + static_cast<std::uint64_t>(used.tv_nsec) / 1000;
+    return static_cast<std::uint64_t>(used.tv_sec) * 1000000 +
+           static_cast<std::uint64_t>(used.tv_nsec) / 1000;
 }
 
 int Kernel::poll(std::span<pollfd> set, Tenths longest) {
@@ -152,6 +171,90 @@
     return ::recvfrom(fd, into.data(), into.size(), 0, reinterpret_cast<sockaddr*>(&from.at), &size);
 }
 
+Fd Kernel::inherited_listener(int fd) {
+    if (option(fd, SO_TYPE) != SOCK_STREAM || option(fd, SO_DOMAIN) != AF_INET ||
+        option(fd, SO_ACCEPTCONN) != 1)
+        throw std::system_error(errno != 0 ? errno : EINVAL, std::generic_category(),
+                                "it is no open listening TCP socket");
+    ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK);
+    ::fcntl(fd, F_SETFD, FD_CLOEXEC);
+    return Fd(fd);
+}
+
+// What a process that died left there is nobody's: its name is taken.
+Fd Kernel::listen_nearby(const std::string& name) {
+    sockaddr_un at{};
+    if (!nearby(name, at)) return {};
+    Fd fd(::socket(AF_UNIX, SOCK_SEQPACKET | kind, 0));
+    if (!fd.open()) return fd;
+    ::unlink(name.c_str());
+    if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+        ::chmod(name.c_str(), S_IRUSR | S_IWUSR) != 0 || ::listen(fd.get(), 4) != 0)
+        return {};
+    return fd;
+}
+
+Fd Kernel::connect_nearby(const std::string& name) {
+    sockaddr_un at{};
+    if (!nearby(name, at)) return {};
+    Fd fd(::socket(AF_UNIX, SOCK_SEQPACKET | kind, 0));
+    if (fd.open() && ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) return {};
+    return fd;
+}
+
+Fd Kernel::accept_nearby(int listener) {
+    Fd fd(::accept4(listener, nullptr, nullptr, kind));
+    ucred who{};
+    socklen_t size = sizeof who;
+    if (fd.open() &&
+        (::getsockopt(fd.get(), SOL_SOCKET, SO_PEERCRED, &who, &size) != 0 || who.uid != ::geteuid()))
+        return {};
+    return fd;
+}
+
+Transfer Kernel::send_packet(int fd, std::string_view bytes, std::span<const int> descriptors) {
+    iovec part{const_cast<char*>(bytes.data()), bytes.size()};
+    msghdr message{};
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    alignas(cmsghdr) std::array<char, CMSG_SPACE(most_descriptors * sizeof(int))> room{};
+    if (descriptors.size() > most_descriptors) return {.error = EINVAL};
+    if (!descriptors.empty()) {
+        message.msg_control = room.data();
+        message.msg_controllen = CMSG_SPACE(descriptors.size_bytes());
+        cmsghdr* head = CMSG_FIRSTHDR(&message);
+        head->cmsg_level = SOL_SOCKET;
+        head->cmsg_type = SCM_RIGHTS;
+        head->cmsg_len = CMSG_LEN(descriptors.size_bytes());
+        std::memcpy(CMSG_DATA(head), descriptors.data(), descriptors.size_bytes());
+    }
+    const ssize_t n = ::sendmsg(fd, &message, MSG_NOSIGNAL);
+    if (n >= 0) return {.bytes = static_cast<std::size_t>(n)};
+    return {.error = not_now(errno) ? 0 : errno};
+}
+
+Transfer Kernel::receive_packet(int fd, std::span<char> into, std::vector<Fd>& descriptors) {
+    iovec part{into.data(), into.size()};
+    msghdr message{};
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    alignas(cmsghdr) std::array<char, CMSG_SPACE(most_descriptors * sizeof(int))> room{};
+    message.msg_control = room.data();
+    message.msg_controllen = room.size();
+    const ssize_t n = ::recvmsg(fd, &message, MSG_CMSG_CLOEXEC);
+    if (n > 0)
+        for (cmsghdr* head = CMSG_FIRSTHDR(&message); head != nullptr; head = CMSG_NXTHDR(&message, head)) {
+            if (head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS) continue;
+            for (std::size_t at = 0; at + CMSG_LEN(sizeof(int)) <= head->cmsg_len; at += sizeof(int)) {
+                int one = -1;
+                std::memcpy(&one, CMSG_DATA(head) + at, sizeof one);
+                descriptors.emplace_back(one);
+            }
+        }
+    if (n > 0 && (message.msg_flags & (MSG_TRUNC | MSG_CTRUNC)) != 0) return {.error = EMSGSIZE};
+    return received(n);
+}
+
 // They come as bytes on a descriptor of the loop: no handler interrupts anything.
 Fd Kernel::signals() {
     hold_signals();
--- a/src/net/kernel.h
+++ b/src/net/kernel.h
@@ -1,4 +1,4 @@
-// The kernel's side of the system: TCP and UDP on IPv4, none of which blocks, poll(2), signalfd(2).
+// The kernel's side of the system: TCP and UDP on IPv4 and Unix packets, none of which blocks, poll(2), signalfd(2).
 #pragma once
 
 #include "net/clock.h"
@@ -16,7 +16,7 @@
 Transfer read_some(int fd, std::span<char> into);
 Transfer write_some(int fd, std::string_view text);
 
-class Kernel final : public System {
+class Kernel : public System {
   public:
     Tenths now() override { return clock_.now(); }
     std::uint64_t processor_us() override;
@@ -37,6 +37,12 @@
     void will_reset(int fd) override;
     std::ptrdiff_t send_to(int fd, const Address& to, std::span<const std::uint8_t> bytes) override;
     std::ptrdiff_t receive(int fd, Address& from, std::span<std::uint8_t> into) override;
+    Fd inherited_listener(int fd) override;
+    Fd listen_nearby(const std::string& name) override;
+    Fd connect_nearby(const std::string& name) override;
+    Fd accept_nearby(int listener) override;
+    Transfer send_packet(int fd, std::string_view bytes, std::span<const int> descriptors) override;
+    Transfer receive_packet(int fd, std::span<char> into, std::vector<Fd>& descriptors) override;
     Fd signals() override;
     int next_signal(int fd) override;
     const char* read_file(const std::string& path, std::size_t longest, std::string& into) override;
--- a/src/net/system.h
+++ b/src/net/system.h
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "net/clock.h"
 #include "net/fd.h"
@@ -60,6 +61,19 @@
     virtual std::ptrdiff_t send_to(int fd, const Address& to, std::span<const std::uint8_t> bytes) = 0;
     virtual std::ptrdiff_t receive(int fd, Address& from, std::span<std::uint8_t> into) = 0;
 
+    // A listening TCP socket that the process was started with; throws std::system_error where it is none.
+    virtual Fd inherited_listener(int fd) = 0;
+
+    // Packets between two processes of one user on this machine, which may hold descriptors. A name is a path
+    // in the file system. Not open, with errno, where nobody listens or the name cannot be had.
+    virtual Fd listen_nearby(const std::string& name) = 0;
+    virtual Fd connect_nearby(const std::string& name) = 0;
+    // Nobody but a process of the same user.
+    virtual Fd accept_nearby(int listener) = 0;
+    virtual Transfer send_packet(int fd, std::string_view bytes, std::span<const int> descriptors) = 0;
+    // One whole packet; longer ones are an error. The descriptors are the receiver's from then on.
+    virtual Transfer receive_packet(int fd, std::span<char> into, std::vector<Fd>& descriptors) = 0;
+
     // Where the signals that a node answers are read; throws std::system_error.
     virtual Fd signals() = 0;
     // The next one's number; 0: none waits.
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -25,6 +25,12 @@
     return out;
 }
 
+std::string address_text(const Address& at) {
+    std::array<char, INET_ADDRSTRLEN> host{};
+    ::inet_ntop(AF_INET, &at.at.sin_addr, host.data(), host.size());
+    return std::string(host.data()) + ":" + std::to_string(ntohs(at.at.sin_port));
+}
+
 bool none_left(int error) {
     return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
 }
--- a/src/net/transfer.h
+++ b/src/net/transfer.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace lemonstair::net {
@@ -19,6 +20,8 @@
 // "10.0.0.4:8443"; nothing where the text is not an address and a port.
 std::optional<Address> parse_address(std::string_view text);
 
+std::string address_text(const Address& at);
+
 struct Transfer {
     std::size_t bytes = 0;
     bool ended = false;  // the other side ended its sending
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -41,8 +41,9 @@
 }  // namespace
 
 Node::Node(net::System& system, config::Launch launch, const json::Value& known, log::Log& log, Reread reread,
-           const Decider& decider)
+           Decider decider)
     : launch_(std::move(launch)),
+      known_(known.told_as("known")),
       log_(log),
       reread_(std::move(reread)),
       loop_(system),
@@ -56,21 +57,90 @@
       watch_(loop_, stages_.floor.pool, launch_.discovery, *this, log_, costs_),
       prober_(loop_, stages_.floor.pool, hosts_, *this, launch_, costs_),
       desk_(loop_, *this, log_),
-      balancer_(decider(launch_.terms, orders_, loop_.now())),
+      succession_(loop_, *this, log_, launch_.name, launch_.nearby),
+      decider_(std::move(decider)),
       rng_(launch_.terms.seed),
       signals_(loop_, system.signals(), POLLIN, *this, 0) {
-    orders_.decide_by(*balancer_);
-    stages_.floor.balancer = balancer_.get();
-    const json::Value list = known.told_as("known");
-    if (list.type() == json::Type::object) hosts_.take(list, stages_.floor.mind(), true);
-    open_at("listen", [&] { stages_.take_in.listen_on(launch_.listen); });
+    if (launch_.inherited)
+        open_at("NODE_INHERITED_FD", [&] { stages_.take_in.listen_on(*launch_.inherited); });
+    else
+        open_at("listen", [&] { stages_.take_in.listen_on(launch_.listen); });
     if (launch_.admin) open_at("admin_addr", [&] { desk_.open(*launch_.admin, launch_.callers); });
     for (const auto& [timer, every] : {std::pair{look_over_timer, look_over_every},
                                        {tally_timer, tally_every},
                                        {costs_timer, costs_every}})
         loop_.at(loop_.now() + every, *this, timer);
-    if (!launch_.terms.must_ask) watch_.open(hosts_.revision());
+    succession_.start();
+}
+
+// A mind that remembers nothing, but for the hosts that it was told at the start, or by an old process.
+void Node::think(std::string_view list) {
+    orders_.expect_another();
+    balancer_ = decider_(launch_.terms, orders_, loop_.now());
+    orders_.decide_by(*balancer_);
+    stages_.floor.balancer = balancer_.get();
+    if (known_.type() == json::Type::object) hosts_.take(known_, stages_.floor.mind(), true);
+    json::Document told;
+    if (!list.empty() && told.parse(list))
+        hosts_.take(told.root().told_as("list handed over"), stages_.floor.mind(), true);
+}
+
+// The node's place is this process's, alone or after an old one.
+void Node::begin(std::string_view list, std::string_view memory) {
+    think(list);
+    if (!memory.empty() && !stages_.floor.mind().take_over(memory)) {
+        log_.error() << "hand-over: what the old process remembers cannot be read, the node begins anew";
+        think(list);
+    }
+    speak();
+    // What the old process was told last may be some time ago: the list is asked for at once.
+    if (!list.empty() && !watch_.is_open()) watch_.open(hosts_.revision());
     go(Phase::serving);
+    if (std::exchange(renew_at_begin_, false)) renew();
+}
+
+void Node::speak() {
+    open_at("peer_listen", [&] { peers_.open(); });
+    if (!launch_.terms.must_ask) watch_.open(hosts_.revision());
+    stages_.take_in.open(true);
+}
+
+void Node::fall_silent() {
+    stages_.take_in.open(false);
+    peers_.close();
+    watch_.stop();
+    prober_.stop();
+}
+
+void Node::stand_changed(handover::Stand from, handover::Stand to) {
+    stages_.floor.ready = ready();
+    if (handover::answers(from) == handover::answers(to)) return;
+    if (!handover::answers(to)) return fall_silent();
+    // Guards against a new version that dies just after its yes: this one is the node again.
+    speak();
+    tell_list(ListKind::elsewhere);
+}
+
+void Node::tell_state(std::string& list, std::string& memory) {
+    list = hosts_.list();
+    stages_.floor.mind().remember(memory);
+}
+
+bool Node::next_tunnel(handover::Handed& into) {
+    if (!stages_.carry.next(into.number, into.bytes)) return false;
+    const tunnel::Tunnel& t = *stages_.floor.find(into.number);
+    into.client = t.client.fd();
+    into.host = t.host.fd();
+    return true;
+}
+
+void Node::tunnel_gone(std::uint64_t number, bool taken) {
+    if (taken) return stages_.carry.gone(number);
+    stages_.carry.comes_back(number, !handover::hands_over(succession_.stand()));
+}
+
+bool Node::take_tunnel(std::string_view bytes, net::Fd client, net::Fd host) {
+    return stages_.carry.take(bytes, std::move(client), std::move(host));
 }
 
 void Node::go(Phase to) {
@@ -83,10 +153,13 @@
     if (to == Phase::drained || to == Phase::leaving) emptying_since_ = loop_.now();
 }
 
-std::string_view Node::phase() const { return name_of(static_cast<int>(phase_)); }
+std::string_view Node::phase() const {
+    if (handover::hands_over(succession_.stand())) return "handed over";
+    return name_of(static_cast<int>(phase_));
+}
 
 std::string Node::figures() const {
-    const Census hosts = balancer_->census();
+    const Census hosts = balancer_ ? balancer_->census() : Census{};
     return operators::write_figures({.profiles = launch_.profiles,
                                      .outcomes = stages_.floor.outcomes,
                                      .open = stages_.floor.admitted,
@@ -126,9 +199,11 @@
         case Orders::Kind::move:
             return stages_.route.move(order.tun);
         case Orders::Kind::probe:
-            return prober_.probe(order.ep);
+            if (handover::answers(succession_.stand())) return prober_.probe(order.ep);
+            return stages_.floor.mind().probed(order.ep, Ending::not_sent, 0, {});
         case Orders::Kind::watch:
-            return watch_.open(hosts_.revision());
+            if (handover::answers(succession_.stand())) watch_.open(hosts_.revision());
+            return;
     }
 }
 
@@ -173,6 +248,9 @@
 }
 
 void Node::leave() {
+    if (phase_ == Phase::starting) return go(Phase::left);
+    // Who could not take this process's place serves beside it: clients are left to it.
+    if (succession_.displaced()) stages_.take_in.open(false);
     if (phase_ == Phase::serving || phase_ == Phase::drained) go(Phase::leaving);
 }
 
@@ -180,6 +258,10 @@
 // that has moved is called at once, whatever failures the old one had, and what it says first is new; until
 // then the last list stands.
 void Node::renew() {
+    if (phase_ == Phase::starting) {
+        renew_at_begin_ = true;
+        return;
+    }
     std::string kept;
     try {
         kept = config::renew(launch_, reread_());
@@ -202,7 +284,10 @@
 void Node::due(std::uint64_t token) {
     if (token == look_over_timer) return look_over();
     if (token == costs_timer) return tell_costs();
-    if (token == list_timer) return watch_.open(hosts_.revision());
+    if (token == list_timer) {
+        if (handover::answers(succession_.stand())) watch_.open(hosts_.revision());
+        return;
+    }
     loop_.at(loop_.now() + tally_every, *this, tally_timer);
     const auto& floor = stages_.floor;
     const auto& n = floor.tally;
@@ -229,8 +314,12 @@
     stages_.relay.look_over();
     if ((phase_ != Phase::drained && phase_ != Phase::leaving) || loop_.now() - emptying_since_ < move_after)
         return;
-    if (phase_ == Phase::leaving && stages_.floor.admitted + stages_.floor.departing == 0)
+    const bool handed = handover::hands_over(succession_.stand());
+    const auto& floor = stages_.floor;
+    if (phase_ == Phase::leaving && (handed ? floor.in_hand : floor.admitted + floor.departing) == 0)
         return go(Phase::left);
+    // Its clients go over to the new version, and notice nothing.
+    if (handed) return;
     // Packets that pass go on through another node: there a move would only break what goes on unbroken.
     if (!launch_.packets_pass) move_all();
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,7 @@
 #include "config/launch.h"
 #include "discovery/hosts.h"
 #include "discovery/watch.h"
+#include "handover/succession.h"
 #include "log/log.h"
 #include "net/loop.h"
 #include "node/orders.h"
@@ -22,14 +23,14 @@
 
 namespace lemonstair::node {
 
-class Node final : discovery::Hearer, probe::Hearer, operators::Staffed, net::Waiter {
+class Node final : discovery::Hearer, probe::Hearer, operators::Staffed, handover::Party, net::Waiter {
   public:
     // Reads anew what the node is told; throws json::Malformed, which names the faulty key.
     using Reread = std::function<config::Launch()>;
     // What makes the decisions; a tool may put another policy or a watched one in the module's place.
     using Decider = std::function<std::unique_ptr<Balancer>(Terms, Host&, Tenths now)>;
     Node(net::System& system, config::Launch launch, const json::Value& known, log::Log& log, Reread reread,
-         const Decider& decider = Balancer::start);
+         Decider decider = Balancer::start);
     // Until the node has left.
     void run();
     // One pass of the loop; false once the node has left.
@@ -49,6 +50,9 @@
     // Drained: operators sent its clients away, and it takes them again when they say so.
     enum class Phase : std::uint8_t { starting, serving, drained, leaving, left };
     void go(Phase to);
+    void think(std::string_view list);
+    void speak();
+    void fall_silent();
     void carry_out(const Orders::Order& order);
     void look_over();
     void tell_costs();              // what was added since the last line
@@ -61,15 +65,29 @@
     void nothing_new() override;
     void watch_lost() override;
     void probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report) override;
-    bool ready() const override { return phase_ == Phase::serving; }
+    bool ready() const override { return phase_ == Phase::serving && handover::answers(succession_.stand()); }
     std::string_view phase() const override;
     std::string figures() const override;
     bool drain() override;
     bool take_again() override;
+    void tell_state(std::string& list, std::string& memory) override;
+    void begin(std::string_view list, std::string_view memory) override;
+    void stand_changed(handover::Stand from, handover::Stand to) override;
+    bool next_tunnel(handover::Handed& into) override;
+    void tunnel_gone(std::uint64_t number, bool taken) override;
+    bool take_tunnel(std::string_view bytes, net::Fd client, net::Fd host) override;
+    bool has_tunnels() const override { return stages_.floor.in_hand > 0; }
+    std::size_t held() const override { return loop_.descriptors() + outside_loop; }
+    std::size_t granted() const override { return launch_.sockets; }
+    void held_elsewhere(std::size_t descriptors) override { stages_.floor.elsewhere = descriptors; }
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
 
+    // Descriptors that a process has beside those in its loop: the standard ones, the spares, the listener it
+    // inherited.
+    static constexpr std::size_t outside_loop = 6;
     config::Launch launch_;
+    json::Value known_;
     log::Log& log_;
     Reread reread_;
     net::Loop loop_;
@@ -81,12 +99,15 @@
     discovery::Watch watch_;
     probe::Prober prober_;
     operators::Desk desk_;
+    handover::Succession succession_;
+    Decider decider_;
     std::unique_ptr<Balancer> balancer_;
     std::minstd_rand rng_;
     net::Socket signals_;
     Phase phase_ = Phase::starting;
     Tenths emptying_since_ = 0;  // drained or leaving
     int failed_calls_ = 0;
+    bool renew_at_begin_ = false;
 };
 
 }  // namespace lemonstair::node
--- a/src/node/orders.h
+++ b/src/node/orders.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string_view>
 #include <vector>
 
@@ -13,7 +14,7 @@
 
 namespace lemonstair::node {
 
-class Orders final : public Host, public net::Waiter {
+class Orders final : public Host {
   public:
     enum class Kind : std::uint8_t { set_up, decline, close_with_error, move, probe, watch };
     struct Order {
@@ -23,7 +24,12 @@
         Tenths span = 0;
     };
     Orders(net::Loop& loop, PeerLink& peers, log::Log& log) : loop_(loop), peers_(peers), log_(log) {}
-    void decide_by(Balancer& balancer) { balancer_ = &balancer; }
+    // Another will decide from now on: what the last one was to be woken for counts no more.
+    void expect_another() {
+        if (!minds_.empty()) minds_.back()->balancer = nullptr;
+        minds_.push_back(std::make_unique<Mind>(loop_));
+    }
+    void decide_by(Balancer& balancer) { minds_.back()->balancer = &balancer; }
     // Each order in turn, also those that carrying one out brings.
     template <class CarryOut>
     void carry_out(CarryOut&& each) {
@@ -46,22 +52,27 @@
     void move(std::uint64_t tun) override { waiting_.push_back({Kind::move, 0, tun}); }
     void probe(std::uint32_t ep) override { waiting_.push_back({Kind::probe, ep}); }
     void watch_list() override { waiting_.push_back({Kind::watch}); }
-    void wake(Tenths at, std::uint64_t label) override { loop_.at(at, *this, label); }
+    void wake(Tenths at, std::uint64_t label) override { loop_.at(at, *minds_.back(), label); }
     void tell(std::uint32_t node, std::span<const std::uint8_t> bytes) override { peers_.tell(node, bytes); }
     void tell_all(std::span<const std::uint8_t> bytes) override { peers_.tell_all(bytes); }
     void log(std::string_view line) override { log_.info() << line; }
 
-    void ready(std::uint64_t, short) override {}
-    void due(std::uint64_t label) override {
-        balancer_->at(loop_.now());
-        balancer_->woken(label);
-    }
-
   private:
+    struct Mind final : net::Waiter {
+        explicit Mind(net::Loop& with) : loop(with) {}
+        void ready(std::uint64_t, short) override {}
+        void due(std::uint64_t label) override {
+            if (balancer == nullptr) return;
+            balancer->at(loop.now());
+            balancer->woken(label);
+        }
+        net::Loop& loop;
+        Balancer* balancer = nullptr;
+    };
     net::Loop& loop_;
     PeerLink& peers_;
     log::Log& log_;
-    Balancer* balancer_ = nullptr;
+    std::vector<std::unique_ptr<Mind>> minds_;  // timers may still name those before the last
     std::vector<Order> waiting_;
 };
 
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -16,9 +16,11 @@
 }  // namespace
 
 PeerLink::PeerLink(net::Loop& loop, const config::Launch& launch, account::Costs& costs, Heard heard)
-    : loop_(loop), launch_(launch), costs_(costs), heard_(std::move(heard)) {
-    if (launch.terms.limits.peers && launch.peer_listen)
-        socket_ = net::Socket(loop, loop.system().datagrams_on(*launch.peer_listen), POLLIN, *this, 0);
+    : loop_(loop), launch_(launch), costs_(costs), heard_(std::move(heard)) {}
+
+void PeerLink::open() {
+    if (launch_.terms.limits.peers && launch_.peer_listen)
+        socket_ = net::Socket(loop_, loop_.system().datagrams_on(*launch_.peer_listen), POLLIN, *this, 0);
 }
 
 // One that cannot go now is lost: the module counts on no datagram.
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -16,6 +16,9 @@
     // Hears the number of the node that a datagram came from, and its bytes.
     using Heard = std::function<void(std::uint32_t node, std::span<const std::uint8_t> bytes)>;
     PeerLink(net::Loop& loop, const config::Launch& launch, account::Costs& costs, Heard heard);
+    // Only one process of a node hears and speaks.
+    void open();
+    void close() { socket_.close(); }
     void tell(std::uint32_t node, std::span<const std::uint8_t> bytes);
     void tell_all(std::span<const std::uint8_t> bytes);
     void ready(std::uint64_t token, short events) override;
--- a/src/probe/prober.cpp
+++ b/src/probe/prober.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 #include "config/terms.h"
 #include "net/lines.h"
@@ -77,6 +78,15 @@
     }
 }
 
+void Prober::stop() {
+    for (std::uint32_t place = 0; place < lines_.size(); ++place)
+        if (lines_[place].state == State::idle) close(place);
+    for (const std::uint32_t place : std::exchange(waiting_, {})) {
+        lines_[place].state = State::closed;
+        found(place, Ending::not_sent, {});
+    }
+}
+
 void Prober::set_due(std::uint32_t place, Tenths when) {
     lines_[place].due = when;
     loop_.at(when, *this, token_of(place));
--- a/src/probe/prober.h
+++ b/src/probe/prober.h
@@ -33,6 +33,8 @@
         : loop_(loop), pool_(pool), hosts_(hosts), hearer_(hearer), launch_(launch), costs_(costs) {}
     std::size_t lines() const { return open_; }
     void probe(std::uint32_t ep);
+    // Another process of this node probes from now on: no line is kept for later.
+    void stop();
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
 
--- a/src/simnet/process.cpp
+++ b/src/simnet/process.cpp
@@ -234,6 +234,15 @@
     return static_cast<std::ptrdiff_t>(n);
 }
 
+net::Fd Process::inherited_listener(int) {
+    throw std::system_error(EBADF, std::generic_category(), "it is no open listening TCP socket");
+}
+net::Fd Process::listen_nearby(const std::string&) { return errno = EACCES, net::Fd(); }
+net::Fd Process::connect_nearby(const std::string&) { return errno = ENOENT, net::Fd(); }
+net::Fd Process::accept_nearby(int) { return {}; }
+net::Transfer Process::send_packet(int, std::string_view, std::span<const int>) { return {.error = EPIPE}; }
+net::Transfer Process::receive_packet(int, std::span<char>, std::vector<net::Fd>&) { return {.error = EPIPE}; }
+
 net::Fd Process::signals() {
     const int fd = take(Use::signals);
     if (fd < 0) throw std::system_error(errno, std::generic_category(), "signals");
--- a/src/simnet/process.h
+++ b/src/simnet/process.h
@@ -77,6 +77,12 @@
     void will_reset(int fd) override;
     std::ptrdiff_t send_to(int fd, const Address& to, std::span<const std::uint8_t> bytes) override;
     std::ptrdiff_t receive(int fd, Address& from, std::span<std::uint8_t> into) override;
+    net::Fd inherited_listener(int fd) override;
+    net::Fd listen_nearby(const std::string& name) override;
+    net::Fd connect_nearby(const std::string& name) override;
+    net::Fd accept_nearby(int listener) override;
+    net::Transfer send_packet(int fd, std::string_view bytes, std::span<const int> descriptors) override;
+    net::Transfer receive_packet(int fd, std::span<char> into, std::vector<net::Fd>& descriptors) override;
     net::Fd signals() override;
     int next_signal(int fd) override;
     const char* read_file(const std::string& path, std::size_t longest, std::string& into) override;
--- a/src/tunnel/admit.cpp
+++ b/src/tunnel/admit.cpp
@@ -9,7 +9,7 @@
 namespace lemonstair::tunnel {
 
 std::size_t Admit::room() const {
-    const std::size_t sockets = floor_.launch.sockets;
+    const std::size_t sockets = floor_.granted();
     const std::size_t kept = Floor::fewest_left + floor_.launch.callers +
                              probe::most_lines(floor_.hosts.size(), sockets) + sockets / 16;
     return sockets > kept ? (sockets - kept) / 2 : 1;
--- /dev/null
+++ b/src/tunnel/carry.cpp
@@ -0,0 +1,105 @@
+#include "tunnel/carry.h"
+
+#include <utility>
+
+#include "bytes/bytes.h"
+
+namespace lemonstair::tunnel {
+
+namespace {
+
+template <class Io, class T>
+void figures(Io& io, T& t) {
+    io.value(t.name);
+    io.value(t.profile);
+    io.value(t.setup_from);
+    io.value(t.heard_at);
+    io.value(t.waiting_since);
+    io.value(t.owed);
+    io.value(t.up.line_size);
+    io.value(t.down.line_size);
+    io.value(t.setups);
+    io.value(t.standing);
+}
+
+}  // namespace
+
+// One that ends, or is being moved, does so here, within seconds.
+bool Carry::can_go(const Tunnel& t) {
+    return t.state == State::relaying && !t.stays && !t.up.ended && !t.down.ended &&
+           t.ending == Ending::broken;
+}
+
+bool Carry::next(Id& id, std::string& told) {
+    for (std::uint32_t looked = 0; looked < floor_.tunnels.places(); ++looked) {
+        if (next_ >= floor_.tunnels.places()) next_ = 0;
+        const std::uint32_t at = next_++;
+        if (!floor_.tunnels.used(at) || !can_go(floor_.tunnels[at])) continue;
+        id = floor_.id_of(at);
+        Tunnel& t = floor_.tunnels[at];
+        write(id, t, told);
+        floor_.go(id, State::handing);
+        t.client.wait_for(0);
+        t.host.wait_for(0);
+        return true;
+    }
+    return false;
+}
+
+void Carry::write(Id id, const Tunnel& t, std::string& into) const {
+    bytes::Writer out(into);
+    out.text(floor_.hosts[t.place].id);
+    figures(out, t);
+    out.text({t.head.data(), t.head_size});
+    out.text(t.up.waiting.view());
+    out.text(t.down.waiting.view());
+    std::string mind;
+    if (t.known && !floor_.mind().hand_over(id, mind)) mind.clear();
+    out.text(mind);
+}
+
+void Carry::gone(Id id) {
+    if (floor_.find(id) == nullptr) return;
+    book_.over(id, Ending::called_off);
+    book_.drop(id);
+}
+
+// The other process died, or does not know its host: it goes on here as if nothing had been.
+void Carry::comes_back(Id id, bool may_go) {
+    Tunnel* t = floor_.find(id);
+    if (t == nullptr || t->state != State::handing) return;
+    t->stays = !may_go;
+    relay_.go_on(id);
+}
+
+bool Carry::take(std::string_view told, net::Fd client, net::Fd host) {
+    bytes::Reader in(told);
+    const std::uint32_t place = floor_.hosts.place_of(in.text());
+    Tunnel read;
+    figures(in, read);
+    const auto head = in.text(), up = in.text(), down = in.text(), mind = in.text();
+    if (!in.good() || !in.at_end() || place == discovery::Hosts::none || head.size() > read.head.size() ||
+        up.size() > net::buffer_bytes || down.size() > net::buffer_bytes ||
+        read.profile >= floor_.launch.profiles.size() || read.setups < 1)
+        return false;
+    const Id id = floor_.open(std::move(client), false);
+    Tunnel& t = *floor_.find(id);
+    read.client = std::move(t.client);
+    t = std::move(read);
+    t.place = place;
+    t.host = floor_.socket(id, Side::host, std::move(host), 0);
+    head.copy(t.head.data(), head.size());
+    t.head_size = static_cast<std::uint8_t>(head.size());
+    for (const auto& [way, bytes] : {std::pair{&t.up, up}, std::pair{&t.down, down}}) {
+        if (bytes.empty()) continue;
+        way->waiting = floor_.pool.take();
+        way->waiting.append(bytes);
+    }
+    if (t.name != 0) floor_.names.put(t.name, static_cast<std::uint32_t>(id));
+    floor_.go(id, State::handing);
+    t.known = !mind.empty() && floor_.mind().taken_over(id, mind);
+    relay_.go_on(id);
+    return true;
+}
+
+}  // namespace lemonstair::tunnel
--- /dev/null
+++ b/src/tunnel/carry.h
@@ -0,0 +1,33 @@
+// Carry: an open tunnel goes over to another process of the same node, or comes from one, with what is half
+// read of it. Its client and its host notice nothing.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "tunnel/floor.h"
+#include "tunnel/relay.h"
+
+namespace lemonstair::tunnel {
+
+class Carry {
+  public:
+    Carry(Floor& floor, Relay& relay, Book& book) : floor_(floor), relay_(relay), book_(book) {}
+    // The next open tunnel that can go over, in no order; it is frozen until it has gone or comes back. False
+    // where there is none.
+    bool next(Id& id, std::string& told);
+    void gone(Id id);
+    void comes_back(Id id, bool may_go);
+    // False where it is not to be had here; the descriptors are closed then.
+    bool take(std::string_view told, net::Fd client, net::Fd host);
+
+  private:
+    static bool can_go(const Tunnel& t);
+    void write(Id id, const Tunnel& t, std::string& into) const;
+    Floor& floor_;
+    Relay& relay_;
+    Book& book_;
+    std::uint32_t next_ = 0;  // place that is looked at next
+};
+
+}  // namespace lemonstair::tunnel
--- a/src/tunnel/floor.cpp
+++ b/src/tunnel/floor.cpp
@@ -20,6 +20,8 @@
             return "relaying";
         case State::moving:
             return "moving";
+        case State::handing:
+            return "handing";
         case State::departing:
             return "departing";
     }
@@ -30,7 +32,7 @@
 void Floor::let_go(Tunnel& t, std::uint32_t place) {
     if (names.find(t.name) != place) return;
     names.drop(t.name);
-    if (t.state != State::relaying && t.state != State::moving) return;
+    if (t.state != State::relaying && t.state != State::moving && t.state != State::handing) return;
     std::uint64_t& oldest = spent_names_[next_spent_++ % spent_names_.size()];
     if (oldest != 0 && names.find(oldest) == spent) names.drop(oldest);
     oldest = t.name;
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -70,7 +70,9 @@
     // node needs beside tunnels, the listener, discovery, the peers, the log and others, and for setups.
     static constexpr std::size_t fewest_left = 12;
     // Whether only so many of the descriptors granted are left, those outside the loop among them.
-    bool down_to(std::size_t left) const { return loop.descriptors() + left >= launch.sockets; }
+    bool down_to(std::size_t left) const { return loop.descriptors() + left >= granted(); }
+    // Another process of this node may hold a part of what both are granted together.
+    std::size_t granted() const { return launch.sockets > elsewhere ? launch.sockets - elsewhere : 0; }
     std::size_t taking_in() const { return in_hand - admitted - departing; }
     void go(Id id, State to);
 
@@ -89,7 +91,8 @@
     IdIndex names;
     account::Outcomes outcomes;
     Tally tally;
-    bool ready = false;        // what PING is told
+    bool ready = false;         // what PING is told
+    std::size_t elsewhere = 0;  // descriptors that another process of this node holds
     std::size_t in_hand = 0;   // tunnels that are not free
     std::size_t admitted = 0;  // of these, those past their first line and before their last words
     std::size_t departing = 0;
--- a/src/tunnel/relay.cpp
+++ b/src/tunnel/relay.cpp
@@ -245,6 +245,14 @@
     settle(id);
 }
 
+void Relay::go_on(Id id) {
+    Tunnel& t = *floor_.find(id);
+    floor_.go(id, State::relaying);
+    Spoken& told = spoken(t.place);
+    told.heard_at = std::max(told.heard_at, t.heard_at);
+    if (write(id, Side::client) && write(id, Side::host)) settle(id);
+}
+
 // Guards against hosts that vanish or hang: their connections stay open and say nothing. The module hears of
 // a host that owes lines and has sent none on any tunnel; a tunnel that waited long enough is broken, and its
 // client moved.
--- a/src/tunnel/relay.h
+++ b/src/tunnel/relay.h
@@ -18,6 +18,8 @@
     void tunnel_ready(Id id, Side side, short events);
     void tunnel_due(Id id);
     void move(Id id);
+    // A tunnel that came from another process, or did not go there.
+    void go_on(Id id);
     // Looks for hosts that answer no line any more.
     void look_over();
 
--- a/src/tunnel/stages.h
+++ b/src/tunnel/stages.h
@@ -4,6 +4,7 @@
 
 #include "tunnel/admit.h"
 #include "tunnel/book.h"
+#include "tunnel/carry.h"
 #include "tunnel/floor.h"
 #include "tunnel/relay.h"
 #include "tunnel/route.h"
@@ -30,6 +31,7 @@
     Floor floor;
     Book book{floor};
     Relay relay{floor, book};
+    Carry carry{floor, relay, book};
     Send send{floor, book, relay};
     Route route{floor, send, relay, book};
     Admit admit{floor, route, book};
@@ -43,6 +45,7 @@
         if (t == nullptr) return;
         switch (t->state) {
             case State::free:
+            case State::handing:  // nothing is asked of its sockets meanwhile
                 return;
             case State::taking_in:
                 return tell(take_in);
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include "net/lines.h"
 #include "net/transfer.h"
@@ -26,13 +27,20 @@
 
 }  // namespace
 
-void TakeIn::listen_on(const net::Address& at) {
-    listener_ = net::Socket(floor_.loop, floor_.loop.system().listen_on(at), POLLIN, *this, 0);
+void TakeIn::listen_on(net::Fd listener) {
+    listener_ = net::Socket(floor_.loop, std::move(listener), 0, *this, 0);
     floor_.keep_spares();
 }
 
+void TakeIn::open(bool yes) {
+    open_ = yes;
+    wait();
+}
+
+void TakeIn::wait() { listener_.wait_for(open_ && !resting_ ? POLLIN : 0); }
+
 void TakeIn::ready(std::uint64_t, short) {
-    for (int i = 0; i < accepts_a_pass; ++i) {
+    for (int i = 0; i < accepts_a_pass && open_; ++i) {
         // Each pass of the loop costs as much as there are connections: the silent have a part of them.
         const bool crowded = floor_.taking_in() > floor_.launch.sockets / 4;
         bool at_door = false;
@@ -64,13 +72,13 @@
     if (floor_.loop.now() - rested_at_ > 50 * rest_for)
         floor_.log.error() << "no descriptor for another client, " << floor_.loop.descriptors() << " in use";
     rested_at_ = floor_.loop.now();
-    listener_.wait_for(0);
+    wait();
     floor_.loop.at(floor_.loop.now() + rest_for, *this, 0);
 }
 
 void TakeIn::due(std::uint64_t) {
     resting_ = false;
-    listener_.wait_for(POLLIN);
+    wait();
 }
 
 void TakeIn::tunnel_ready(Id id, Side, short) {
--- a/src/tunnel/take_in.h
+++ b/src/tunnel/take_in.h
@@ -12,7 +12,11 @@
 class TakeIn final : public net::Waiter {
   public:
     TakeIn(Floor& floor, Admit& admit, Book& book) : floor_(floor), admit_(admit), book_(book) {}
-    void listen_on(const net::Address& at);
+    // Clients come through a socket of the node's own, or through one that the platform holds.
+    void listen_on(const net::Address& at) { listen_on(floor_.loop.system().listen_on(at)); }
+    void listen_on(int inherited) { listen_on(floor_.loop.system().inherited_listener(inherited)); }
+    // Whether clients are accepted; they wait in the listener's queue else, for this process or another.
+    void open(bool yes);
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
     // The connection of a client that has not sent its first line yet.
@@ -20,6 +24,8 @@
     void tunnel_due(Id id) { book_.drop(id); }
 
   private:
+    void listen_on(net::Fd listener);
+    void wait();
     void rest();
     bool take_name(Tunnel& t, std::string_view id, bool mid_flow);
     bool line(Id id, std::string_view text);
@@ -28,7 +34,7 @@
     Admit& admit_;
     Book& book_;
     net::Socket listener_;
-    bool resting_ = false;
+    bool open_ = false, resting_ = false;
     Tenths rested_at_ = 0;
 };
 
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -13,7 +13,7 @@
 namespace lemonstair::tunnel {
 
 // Free; its first line is awaited; the module decides; a setup is out, in three steps; open; being moved,
-// until both sides stand between two lines; its last words are on their way out.
+// until both sides stand between two lines; on its way to another process of the node; its last words are on their way out.
 enum class State : std::uint8_t {
     free,
     taking_in,
@@ -23,6 +23,7 @@
     awaiting_answer,
     relaying,
     moving,
+    handing,
     departing
 };
 
@@ -61,6 +62,7 @@
     bool standing = false;           // open at its host before the start: goes there, without a decision
     bool at_door = false;            // there was no descriptor for it: it is told so and let go
     bool known = false;              // the module knows of it
+    bool stays = false;              // another process of the node does not take it
     bool moves_on = false;           // its host is silent: the client is moved without waiting for it
 };
 
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -5,10 +5,13 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdlib>
+#include <filesystem>
 #include <functional>
 #include <memory>
 #include <string>
@@ -195,6 +198,14 @@
     End accept() const { return {net::Fd(::accept4(fd.get(), nullptr, nullptr, SOCK_NONBLOCK)), {}}; }
 };
 
+// Several nodes take turns in one thread: none keeps the others waiting for long.
+struct Shared final : net::Kernel {
+    bool shared = false;
+    int poll(std::span<pollfd> set, Tenths longest) override {
+        return Kernel::poll(set, shared ? std::min<Tenths>(longest, 10) : longest);
+    }
+};
+
 struct Town {
     struct Terms {
         std::string mode = "pass";
@@ -202,24 +213,27 @@
         bool probing = false;
         int log = -1;
         bool operators = false;
+        bool inherits = false;  // the platform holds the clients' listener
     };
     Door a, b, discovery;
     std::string name = Door().name(), desk = Door().name();
-    net::Kernel kernel;
+    Shared kernel;
     log::Descriptor drain;
     log::Log log;
     json::Document file;
     std::string text;
-    std::unique_ptr<node::Node> node;
-    bool runs = true;
+    net::Fd listener;  // the platform's
+    std::string folder;
+    std::unique_ptr<node::Node> node, next;  // next: a new version, started beside it
+    bool runs = true, next_runs = false;
     int lines = 0;
 
     Town() : Town(Terms{}) {}
     explicit Town(const Terms& t) : drain(t.log), log(log::Level::error, drain) {
         text = R"({"name":"n0","listen":")" + name + R"(","discovery":")" + discovery.name() +
-               (t.operators ? R"(","admin_addr":")" + desk : "") + R"(","seed":"8c1f","limits":{"sockets":)" + std::to_string(t.sockets) +
-               R"(},"known":{"revision":4,"complete":true,"members":[)" + member("a", a) + "," +
-               member("b", b) +
+               (t.operators ? R"(","admin_addr":")" + desk : "") + R"(","seed":"8c1f","limits":{"sockets":)" +
+               std::to_string(t.sockets) + R"(},"known":{"revision":4,"complete":true,"members":[)" +
+               member("a", a) + "," + member("b", b) +
                R"(]},"settings":{"balancers":1,"me":0,"zone":0,"zones":["z"],"granularity":0.005,)" +
                R"("membership_mode":"push","domain":{"mode":")" + t.mode +
                R"("},"limits":{"max_setups":3,"connect_timeout":0.25,"probing":)" +
@@ -228,11 +242,44 @@
                R"("profiles":[{"name":"chat","setup_goal":0.3,"client_timeout":3,"credit":1,)" +
                R"("effect":"read_like","stream":true}]}})";
         file.parse(text);
-        node = std::make_unique<node::Node>(kernel, config::read_launch(file.root()), file.root().inner("known"), log,
-                                            [this] {
-                                                if (!file.parse(text)) throw json::Malformed("not JSON");
-                                                return config::read_launch(file.root());
-                                            });
+        if (t.inherits) {
+            listener = net::listen_on(*net::parse_address(name));
+            std::array<char, 32> made{"/tmp/lemonstair-story-XXXXXX"};
+            folder = ::mkdtemp(made.data());
+        }
+        node = start();
+    }
+    Town(const Town&) = delete;
+    Town& operator=(const Town&) = delete;
+    ~Town() {
+        node.reset();
+        next.reset();
+        if (!folder.empty()) std::filesystem::remove_all(folder);
+    }
+    config::Launch launch() {
+        const std::string fd = std::to_string(listener.open() ? ::dup(listener.get()) : -1);
+        return config::read_launch(file.root(), {.inherited_fd = listener.open() ? fd.c_str() : nullptr,
+                                                 .tmpdir = folder.empty() ? nullptr : folder.c_str()});
+    }
+    std::unique_ptr<node::Node> start() {
+        return std::make_unique<node::Node>(kernel, launch(), file.root().inner("known"), log, [this] {
+            if (!file.parse(text)) throw json::Malformed("not JSON");
+            return config::read_launch(file.root());
+        });
+    }
+    // A new version is started beside the old one, with an address for operators of its own.
+    void upgrade() {
+        const std::string old_desk = std::exchange(desk, Door().name());
+        if (const auto at = text.find(old_desk); at != std::string::npos)
+            text.replace(at, old_desk.size(), desk);
+        file.parse(text);
+        next = start();
+        next_runs = kernel.shared = true;
+    }
+    // The new one is all that is left.
+    void old_is_gone() {
+        node = std::move(next);
+        runs = std::exchange(next_runs, false);
     }
     static std::string member(std::string_view id, const Door& at, std::string_view phase = "in_service") {
         return std::string(R"({"id":")").append(id).append(R"(","host_port":")").append(at.name()) +
@@ -246,6 +293,7 @@
         while (!holds()) {
             if (std::chrono::steady_clock::now() > end) return false;
             if (runs) runs = node->turn();
+            if (next_runs) next_runs = next->turn();
         }
         return true;
     }
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -514,6 +514,7 @@
         CHECK(node == 1);
         sizes.push_back(bytes.size());
     });
+    link.open();
     const auto send = [&](const net::Fd& from, std::size_t n) {
         const std::string text(n, 'x');
         ::sendto(from.get(), text.data(), n, 0, reinterpret_cast<const sockaddr*>(&a.at.at), sizeof a.at.at);
--- a/tests/spoilt.h
+++ b/tests/spoilt.h
@@ -100,6 +100,20 @@
     std::ptrdiff_t receive(int fd, net::Address& from, std::span<std::uint8_t> into) override {
         return real_.receive(fd, from, into);
     }
+    net::Fd inherited_listener(int fd) override { return mine(real_.inherited_listener(fd)); }
+    net::Fd listen_nearby(const std::string& name) override { return mine(real_.listen_nearby(name)); }
+    net::Fd connect_nearby(const std::string& name) override { return mine(real_.connect_nearby(name)); }
+    net::Fd accept_nearby(int listener) override { return mine(real_.accept_nearby(listener)); }
+    net::Transfer send_packet(int fd, std::string_view bytes, std::span<const int> descriptors) override {
+        return real_.send_packet(fd, bytes, descriptors);
+    }
+    net::Transfer receive_packet(int fd, std::span<char> into, std::vector<net::Fd>& descriptors) override {
+        const std::size_t before = descriptors.size();
+        const auto got = real_.receive_packet(fd, into, descriptors);
+        for (std::size_t i = before; i < descriptors.size(); ++i)
+            descriptors[i] = net::Fd(descriptors[i].let_go(), this);
+        return got;
+    }
     net::Fd signals() override { return mine(real_.signals()); }
     int next_signal(int fd) override { return real_.next_signal(fd); }
     const char* read_file(const std::string& path, std::size_t longest, std::string& into) override {
@@ -171,6 +185,10 @@
     }
     void woken(std::uint64_t label) override { real_->woken(label); }
     Census census() const override { return real_->census(); }
+    void remember(std::string& into) const override { real_->remember(into); }
+    bool take_over(std::string_view told) override { return real_->take_over(told); }
+    bool hand_over(std::uint64_t tun, std::string& into) const override { return real_->hand_over(tun, into); }
+    bool taken_over(std::uint64_t tun, std::string_view told) override { return real_->taken_over(tun, told); }
 
     // ---- from the module
     void set_up(std::uint64_t tun, std::uint32_t ep, Tenths max_wait) override {
