The lab plays operators, drains and upgrades; two processes keep to one grant of descriptors

The node: each process leaves a part of the grant to the other and is told what that one holds with each tunnel; the desk and the line rest where no descriptor is left; a caller gives way only after a moment; silent ones wait in the system (TCP_DEFER_ACCEPT).

--- a/src/config/launch.cpp
+++ b/src/config/launch.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::uint64_t usual_sockets = 4096;
 constexpr double usual_connect_timeout_s = 0.25;
-constexpr std::size_t fewest_callers = 2, most_callers = 16;
+constexpr std::size_t fewest_callers = 2, most_callers = 24;
 
 net::Address read_address(const json::Value& file, std::string_view key) {
     const auto at = net::parse_address(file.text(key));
@@ -105,7 +105,7 @@
     if (l.connect_timeout <= 0) allowed.fail("connect_timeout", "is not above 0");
     l.sockets = limits.whole("sockets", usual_sockets);
     if (l.sockets < fewest_sockets) limits.fail("sockets", "is under 32: too few to serve");
-    if (l.admin) l.callers = std::clamp<std::size_t>(l.sockets / 32, fewest_callers, most_callers);
+    if (l.admin) l.callers = std::clamp<std::size_t>(l.sockets / 16, fewest_callers, most_callers);
     const json::Value domain = settings.inner("domain");
     l.packets_pass = domain.text("mode", "proxy") == "pass";
     // A line is answered at once whatever waits at its host: how long messages take there shows in no answer.
--- a/src/handover/line.cpp
+++ b/src/handover/line.cpp
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 
+#include <cerrno>
 #include <utility>
 
 #include "handover/packets.h"
@@ -12,6 +13,7 @@
 
 constexpr std::uint64_t listener_token = ~std::uint64_t{0};
 constexpr int reads_a_pass = 32;
+constexpr net::Tenths rest_for = 200;
 
 }  // namespace
 
@@ -49,7 +51,12 @@
 
 void Line::answer_call() {
     net::Fd fd = loop_.system().accept_nearby(listener_.fd());
-    if (!fd.open()) return;
+    if (!fd.open()) {
+        if (!net::none_left(errno)) return;
+        // Guards against spinning on a call for which there is no descriptor.
+        listener_.wait_for(0);
+        return loop_.at(loop_.now() + rest_for, *this, 0);
+    }
     if (!hearer_.takes_call()) {
         loop_.system().send_packet(fd.get(), refusal_, {});
         return;
--- a/src/handover/line.h
+++ b/src/handover/line.h
@@ -38,7 +38,7 @@
     std::size_t waiting() const { return waiting_.size(); }
 
     void ready(std::uint64_t token, short events) override;
-    void due(std::uint64_t) override {}
+    void due(std::uint64_t) override { listener_.wait_for(POLLIN); }
 
   private:
     struct Word {
--- a/src/handover/succession.cpp
+++ b/src/handover/succession.cpp
@@ -150,11 +150,15 @@
             const bool taken =
                 whole && party_.take_tunnel(p.text, std::move(descriptors[0]), std::move(descriptors[1]));
             came_ += taken ? 1 : 0;
-            return send({.kind = Kind::has, .yes = taken, .number = p.number});
+            return send({.kind = Kind::has,
+                         .yes = taken,
+                         .held = static_cast<std::uint32_t>(party_.held()),
+                         .number = p.number});
         }
         case Kind::has:
             if (!hands_over(stand) || out_.erase(p.number) == 0) break;
             went_ += p.yes ? 1 : 0;
+            party_.held_elsewhere(held_there_ = p.held);
             party_.tunnel_gone(p.number, p.yes);
             return hand_over();
         case Kind::holds:
@@ -191,12 +195,13 @@
     tell_held();
 }
 
-// Each has at most so many on the way that both hold two descriptors for, beside what they may hold together.
+// For a tunnel on its way both hold two descriptors: at most so many are as half of what is left to both
+// allows.
 void Succession::hand_over() {
     if (!hands_over(stand_) || std::exchange(handing_now_, true)) return;
     const std::size_t held = party_.held() + held_there_ + descriptors_spared;
     const std::size_t left = party_.granted() > held ? party_.granted() - held : 0;
-    const std::size_t most = std::clamp<std::size_t>(left / descriptors_a_tunnel, 1, most_out);
+    const std::size_t most = std::clamp<std::size_t>(left / (2 * descriptors_a_tunnel), 1, most_out);
     while (out_.size() < most && line_.stands() && line_.waiting() == 0) {
         Handed tunnel;
         if (!party_.next_tunnel(tunnel)) break;
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -36,6 +36,14 @@
         {K::node_reload, "node_reload", Who::node, false, false, false, "SIGHUP, with the file as it was"},
         {K::node_reload_broken, "node_reload_broken", Who::node, true, false, false,
          "SIGHUP with half a file, and again with the good one after for_s"},
+        {K::node_upgrade, "node_upgrade", Who::node, false, false, false,
+         "a new version is started beside the node's process, which has SIGTERM when the new one says yes"},
+        {K::node_upgrade_fails, "node_upgrade_fails", Who::node, true, false, false,
+         "the same, but the new one dies for_s after its start"},
+        {K::node_drain, "node_drain", Who::node, true, false, false,
+         "operators send the node's clients away, and take them again after for_s and 4 s"},
+        {K::node_callers, "node_callers", Who::node, false, false, true,
+         "`count` callers of operators come, say nothing or half a call, and stay"},
         {K::host_slow, "host_slow", Who::host, true, true, false,
          "the host's work takes `much` times as long"},
         {K::host_errors, "host_errors", Who::host, true, false, false,
@@ -86,6 +94,11 @@
                          [&](const FaultRow& r) { return r.kind == kind; });
 }
 
+bool by_operators(FaultKind kind) {
+    return kind == FaultKind::node_upgrade || kind == FaultKind::node_upgrade_fails ||
+           kind == FaultKind::node_drain || kind == FaultKind::node_callers;
+}
+
 // ---- drawn
 
 Day draw_day(std::uint64_t seed) {
@@ -120,10 +133,12 @@
     d.host.report_noise = c.between(0.0, 0.15);
     d.host.report_every = c.between(300 * ms, 1200 * ms);
     const std::int64_t faults = c.between(std::int64_t{2}, std::int64_t{7});
-    const auto& rows = fault_rows();
+    std::vector<const FaultRow*> plain;  // what operators do is drawn for their days only
+    for (const FaultRow& row : fault_rows())
+        if (!by_operators(row.kind)) plain.push_back(&row);
     for (std::int64_t i = 0; i < faults; ++i) {
-        const FaultRow& row = rows[static_cast<std::size_t>(
-            c.between(std::int64_t{0}, static_cast<std::int64_t>(rows.size()) - 1))];
+        const FaultRow& row = *plain[static_cast<std::size_t>(
+            c.between(std::int64_t{0}, static_cast<std::int64_t>(plain.size()) - 1))];
         Fault f;
         f.kind = row.kind;
         f.at = c.between(second, 15 * second);
@@ -180,6 +195,29 @@
     return d;
 }
 
+Day draw_operated_day(std::uint64_t seed) {
+    Day d = draw_day(seed);
+    Chance c(seed * 0x9e3779b97f4a7c15U + 0x7654321);
+    d.operated = true;
+    constexpr FaultKind kinds[] = {FaultKind::node_upgrade, FaultKind::node_upgrade,
+                                   FaultKind::node_upgrade_fails, FaultKind::node_drain,
+                                   FaultKind::node_callers};
+    const std::int64_t more = c.between(std::int64_t{1}, std::int64_t{4});
+    for (std::int64_t i = 0; i < more; ++i) {
+        Fault f;
+        f.kind = kinds[c.between(std::int64_t{0}, std::int64_t{4})];
+        f.at = c.between(second, 15 * second);
+        f.who = static_cast<std::uint32_t>(c.between(std::int64_t{0}, std::int64_t{d.nodes} - 1));
+        if (row_of(f.kind).spans) f.span = c.between(50 * ms, 2 * second);
+        if (row_of(f.kind).counted)
+            f.count = static_cast<std::uint32_t>(c.between(std::int64_t{5}, std::int64_t{200}));
+        d.faults.push_back(f);
+    }
+    std::stable_sort(d.faults.begin(), d.faults.end(),
+                     [](const Fault& a, const Fault& b) { return a.at < b.at; });
+    return d;
+}
+
 // ---- TOML
 
 namespace {
@@ -319,6 +357,7 @@
         f.flag("peers", d.peers);
         f.flag("probing", d.probing);
         f.flag("groups", d.groups);
+        f.flag("operated", d.operated);
         f.whole("sockets", d.sockets, 32, 60000);
         f.whole("max_setups", d.max_setups, 1, 10);
         f.number("known", d.known, 0, 1);
@@ -388,7 +427,8 @@
     out << "seed = " << d.seed << "\nspan_s = " << s(d.span) << "\n\n[fleet]\nnodes = " << d.nodes
         << "\nhosts = " << d.hosts << "\nmembers = " << d.members
         << "\npackets_pass = " << flag(d.packets_pass) << "\npeers = " << flag(d.peers)
-        << "\nprobing = " << flag(d.probing) << "\ngroups = " << flag(d.groups) << "\nsockets = " << d.sockets
+        << "\nprobing = " << flag(d.probing) << "\ngroups = " << flag(d.groups)
+        << "\noperated = " << flag(d.operated) << "\nsockets = " << d.sockets
         << "\nmax_setups = " << d.max_setups << "\nknown = " << d.known
         << "\nclocks_apart_s = " << s(d.clocks_apart) << "\nnotices_after_s = " << s(d.notices_after)
         << "\ntold_after_s = " << s(d.told_after) << "\npass_takes_ms = " << in_ms(d.pass_takes)
--- a/src/lab/day.h
+++ b/src/lab/day.h
@@ -24,6 +24,10 @@
     node_vanish,
     node_reload,
     node_reload_broken,
+    node_upgrade,
+    node_upgrade_fails,
+    node_drain,
+    node_callers,
     host_slow,
     host_errors,
     host_full,
@@ -68,6 +72,8 @@
 };
 const std::vector<FaultRow>& fault_rows();
 const FaultRow& row_of(FaultKind kind);
+// Done by those who operate the nodes.
+bool by_operators(FaultKind kind);
 
 struct Day {
     std::uint64_t seed = 1;
@@ -76,6 +82,7 @@
     bool packets_pass = true, peers = true, probing = true, groups = true;
     std::uint32_t sockets = 256;  // descriptors of a node
     int max_setups = 3;
+    bool operated = false;         // operators call, and the platform holds the clients' listeners
     double known = 1;              // share of the hosts that the nodes know at their start
     Tenths clocks_apart = 0;       // nodes' clocks are ahead by up to this
     Tenths notices_after = 20000;  // the front, that a node has died
@@ -96,6 +103,8 @@
 };
 
 Day draw_day(std::uint64_t seed);
+// The same, with operators who call, drain and upgrade nodes: the faults of the day and these.
+Day draw_operated_day(std::uint64_t seed);
 // Keys that the file leaves out keep what `Day` gives them. Throws BadDay.
 Day read_day(const std::string& path);
 Day parse_day(std::string_view text, const std::string& name);
--- a/src/lab/rules.h
+++ b/src/lab/rules.h
@@ -34,6 +34,13 @@
     void node_told_to_leave(std::uint32_t node);
     void node_ended(std::uint32_t node, NodeEnd how);
     void node_stalled(std::uint32_t node, Tenths until);
+    // Operators send its clients away, or take them again.
+    void node_drained(std::uint32_t node, bool on) { nodes_[node].drained_since = on ? agenda_.now() : 0; }
+    void judge_drained(std::uint32_t node);
+    // What `GET /stats` said, of a process that has run since; mixed: another answered some meanwhile.
+    void figures_told(std::uint32_t node, const std::string& body, Tenths since, bool mixed);
+    // Whether a node ran, was not held up, and could be reached, all through a span.
+    bool undisturbed(std::uint32_t node, Tenths from, Tenths until) const;
     void machine_cut(simnet::Machine machine, bool on);
     void host_answers_nothing(std::uint32_t host, bool on) { hosts_[host].mute = on; }
     void broke(std::string rule, std::string what);
@@ -80,8 +87,16 @@
         stand::Asked asked;
         Tenths asked_at = 0, taken_at = 0, opened_at = 0, host_ended_at = 0;
         std::uint32_t holder = 0;
+        std::size_t attempt = 0;  // the last, in attempts_
+        Tenths changed_at = 0;
         std::vector<Setup> setups;
     };
+    // One first line at one node; a tunnel whose packets pass has several.
+    struct Attempt {
+        std::uint32_t node = 0, profile = 0;
+        Tenths asked_at = 0, answered_at = 0;
+        stand::Answer answer = stand::Answer::none;
+    };
     struct Life {
         Tenths from, until = 0;  // 0: it runs
         NodeEnd how = NodeEnd::killed;
@@ -90,14 +105,17 @@
     struct Node {
         std::vector<Life> lives;
         std::vector<std::pair<Tenths, Tenths>> stalls;
+        Tenths drained_since = 0;            // 0: it is not
         std::vector<Tenths> not_in_service;  // by host: since when it is told so; 0: it is in service
     };
     struct Host {
         bool mute = false;
     };
     Book& book(stand::TunnelNo tunnel);
-    // Whether a node ran, was not held up, and could be reached, all through a span.
-    bool undisturbed(std::uint32_t node, Tenths from, Tenths until) const;
+    void to(Book& b, State state) {
+        b.state = state;
+        b.changed_at = agenda_.now();
+    }
     bool machine_reached(simnet::Machine machine, Tenths from, Tenths until) const;
     const Life* life_at(std::uint32_t node, Tenths when) const;
     simnet::Machine machine_of_host(std::uint32_t host) const { return day_.nodes + host; }
@@ -112,6 +130,8 @@
     simnet::Network& network_;
     const stand::Town* town_ = nullptr;
     std::deque<Book> books_;
+    std::vector<Attempt> attempts_;
+    std::vector<std::pair<std::uint32_t, Tenths>> setups_came_;  // from which node, when sent
     std::vector<Node> nodes_;
     std::vector<Host> hosts_;
     std::vector<std::vector<std::pair<Tenths, Tenths>>> cuts_;  // by machine; until 0: it lasts
--- a/src/net/kernel.cpp
+++ b/src/net/kernel.cpp
@@ -96,6 +96,11 @@
     return fd;
 }
 
+void Kernel::will_hear_only_who_speaks(int listener) {
+    const int seconds = 1;
+    ::setsockopt(listener, IPPROTO_TCP, TCP_DEFER_ACCEPT, &seconds, sizeof seconds);
+}
+
 int Kernel::connected(int fd) {
     int error = 0;
     socklen_t size = sizeof error;
--- a/src/net/kernel.h
+++ b/src/net/kernel.h
@@ -24,6 +24,7 @@
     void close(int fd) override;
     std::size_t allowed_descriptors(std::size_t asked) override;
     Fd listen_on(const Address& at) override { return net::listen_on(at); }
+    void will_hear_only_who_speaks(int listener) override;
     Fd datagrams_on(const Address& at) override { return net::datagrams_on(at); }
     Fd connect_to(const Address& to) override { return net::connect_to(to); }
     Fd accept(int listener) override;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -44,7 +44,8 @@
     }
     std::size_t timers() const { return timers_.size(); }
     // In the loop, and beside those held back for a purpose.
-    std::size_t descriptors() const { return polled_.size() - free_.size() + set_aside_; }
+    std::size_t descriptors() const { return in_use() + set_aside_; }
+    std::size_t in_use() const { return polled_.size() - free_.size(); }
     void set_aside(std::size_t descriptors) { set_aside_ = descriptors; }
     // One pass: waits, then calls each waiter whose descriptor is ready or whose timer is due, and `after`
     // when it returns.
--- a/src/net/system.h
+++ b/src/net/system.h
@@ -38,6 +38,8 @@
 
     // These throw std::system_error: at the start a socket that cannot be had is final.
     virtual Fd listen_on(const Address& at) = 0;
+    // Who calls there and says nothing may be kept from the process for a few seconds.
+    virtual void will_hear_only_who_speaks(int listener) = 0;
     virtual Fd datagrams_on(const Address& at) = 0;
     // A connection under way; not open where the system had no descriptor or address for it.
     virtual Fd connect_to(const Address& to) = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -92,6 +92,8 @@
         log_.error() << "hand-over: what the old process remembers cannot be read, the node begins anew";
         think(list);
     }
+    const bool alone = succession_.stand() == handover::Stand::alone;
+    if (!launch_.nearby.empty()) stages_.floor.for_other = alone ? for_a_new_one : for_the_other;
     speak();
     // What the old process was told last may be some time ago: the list is asked for at once.
     if (!list.empty() && !watch_.is_open()) watch_.open(hosts_.revision());
@@ -114,6 +116,7 @@
 
 void Node::stand_changed(handover::Stand from, handover::Stand to) {
     stages_.floor.ready = ready();
+    stages_.floor.for_other = to == handover::Stand::alone ? for_a_new_one : for_the_other;
     if (handover::answers(from) == handover::answers(to)) return;
     if (!handover::answers(to)) return fall_silent();
     // Guards against a new version that dies just after its yes: this one is the node again.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -77,15 +77,15 @@
     void tunnel_gone(std::uint64_t number, bool taken) override;
     bool take_tunnel(std::string_view bytes, net::Fd client, net::Fd host) override;
     bool has_tunnels() const override { return stages_.floor.in_hand > 0; }
-    std::size_t held() const override { return loop_.descriptors() + outside_loop; }
+    std::size_t held() const override { return loop_.in_use() + tunnel::Floor::outside_loop; }
     std::size_t granted() const override { return launch_.sockets; }
     void held_elsewhere(std::size_t descriptors) override { stages_.floor.elsewhere = descriptors; }
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
 
-    // Descriptors that a process has beside those in its loop: the standard ones, the spares, the listener it
-    // inherited.
-    static constexpr std::size_t outside_loop = 6;
+    // What a new process needs to begin, and what either may take between two words about what it holds. Guards
+    // against both together holding more than is granted.
+    static constexpr std::size_t for_a_new_one = 16, for_the_other = 8;
     config::Launch launch_;
     json::Value known_;
     log::Log& log_;
--- a/src/operators/desk.cpp
+++ b/src/operators/desk.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace lemonstair::operators {
@@ -14,16 +15,18 @@
 
 // Who has not said its call, taken its answer or ended by then goes; looked after in such steps.
 constexpr Tenths longest_call = 20000, longest_answer = 20000, longest_leaving = 5000, look_every = 2500;
-constexpr Tenths moment_to_log = 100000;
-constexpr int accepts_a_pass = 64;
+constexpr Tenths moment_to_log = 100000, rest_for = 200, moment_to_speak = 200, moment_to_go_on = 50;
+enum Timer : std::uint64_t { look_timer, rest_timer };
+constexpr int accepts_a_pass = 64, reads_a_pass = 4;
 constexpr std::uint64_t listener_token = ~std::uint64_t{0};
 
 }  // namespace
 
 void Desk::open(const net::Address& at, std::size_t callers) {
     callers_.resize(callers);
-    listener_ =
-        net::Socket(loop_, loop_.system().listen_on(at), POLLIN, *this, listener_token, net::Turn::first);
+    net::Fd listener = loop_.system().listen_on(at);
+    loop_.system().will_hear_only_who_speaks(listener.get());
+    listener_ = net::Socket(loop_, std::move(listener), POLLIN, *this, listener_token, net::Turn::first);
     loop_.set_aside(callers);
 }
 
@@ -62,29 +65,37 @@
     for (int i = 0; i < accepts_a_pass; ++i) {
         if (here_ == callers_.size() && !make_room()) return;
         net::Fd fd = listener_.accept();
-        if (!fd.open()) return;
+        if (!fd.open()) return net::none_left(errno) ? rest(rest_for) : void();
         const auto place = std::find_if(callers_.begin(), callers_.end(),
                                         [](const Caller& c) { return c.state == State::away; });
         place->socket = net::Socket(loop_, std::move(fd), POLLIN, *this,
                                     static_cast<std::uint64_t>(place - callers_.begin()), net::Turn::first);
         go(*place, State::calling);
-        if (!std::exchange(watched_, true)) loop_.at(loop_.now() + look_every, *this, 0);
+        if (!std::exchange(watched_, true)) loop_.at(loop_.now() + look_every, *this, look_timer);
         hear(*place);  // mostly its call is here already
     }
 }
 
-// Guards against callers that come by thousands and say nothing, or half a call: the one that has been here
-// longest goes. One whose call has come, unread, is heard first.
+// Guards against spinning on a caller for whom the system has no descriptor.
+void Desk::rest(Tenths span) {
+    listener_.wait_for(0);
+    loop_.at(loop_.now() + span, *this, rest_timer);
+}
+
+// Guards against callers that come by thousands and say nothing, or half a call: who has been here longest
+// goes; first who has had its answer, then who has said half a call, then who has said nothing, each after a
+// moment in which the rest may be on its way: until then the next ones wait. Who takes its answer goes last.
 bool Desk::make_room() {
-    const auto gives_way = [](const Caller& a, const Caller& b) {
-        const bool speaks_a = a.state == State::told, speaks_b = b.state == State::told;
-        return speaks_a != speaks_b ? speaks_b : a.since < b.since;
+    const auto rank = [](const Caller& c) {
+        return c.state == State::leaving ? 0 : c.state == State::told ? 3 : c.request.untouched() ? 2 : 1;
+    };
+    const auto gives_way = [&](const Caller& a, const Caller& b) {
+        return rank(a) != rank(b) ? rank(a) < rank(b) : a.since < b.since;
     };
     Caller& oldest = *std::min_element(callers_.begin(), callers_.end(), gives_way);
-    if (oldest.state == State::calling) {
-        hear(oldest);
-        if (here_ < callers_.size()) return true;
-    }
+    const Tenths age = loop_.now() - oldest.since;
+    const Tenths moment = rank(oldest) >= 2 ? moment_to_speak : rank(oldest) == 1 ? moment_to_go_on : 0;
+    if (age < moment) return rest(moment - age), false;
     ++turned_away_;
     if (loop_.now() - logged_at_ > moment_to_log) {
         logged_at_ = loop_.now();
@@ -97,12 +108,15 @@
 
 void Desk::hear(Caller& caller) {
     std::array<char, 4096> bytes;
-    const auto got = caller.socket.read(bytes);
-    if (got.error != 0) return go(caller, State::away);
-    caller.request.feed({bytes.data(), got.bytes});
-    if (caller.request.whole() || caller.request.fault() != http::Fault::none)
-        return tell(caller, answer(caller.request, node_));
-    if (got.ended) go(caller, State::away);
+    for (int i = 0; i < reads_a_pass; ++i) {
+        const auto got = caller.socket.read(bytes);
+        if (got.error != 0) return go(caller, State::away);
+        caller.request.feed({bytes.data(), got.bytes});
+        if (caller.request.whole() || caller.request.fault() != http::Fault::none)
+            return tell(caller, answer(caller.request, node_));
+        if (got.ended) return go(caller, State::away);
+        if (got.bytes == 0) return;
+    }
 }
 
 void Desk::tell(Caller& caller, std::string&& text) {
@@ -127,7 +141,10 @@
     if (got.ended || got.error != 0) go(caller, State::away);
 }
 
-void Desk::due(std::uint64_t) {
+void Desk::due(std::uint64_t token) {
+    if (token == rest_timer) {
+        return listener_.wait_for(POLLIN);
+    }
     for (Caller& caller : callers_) {
         const Tenths age = loop_.now() - caller.since;
         if (caller.state == State::calling && age >= longest_call) {
@@ -141,7 +158,7 @@
         }
     }
     watched_ = here_ > 0;
-    if (watched_) loop_.at(loop_.now() + look_every, *this, 0);
+    if (watched_) loop_.at(loop_.now() + look_every, *this, look_timer);
 }
 
 }  // namespace lemonstair::operators
--- a/src/operators/desk.h
+++ b/src/operators/desk.h
@@ -34,6 +34,7 @@
         State state = State::away;
     };
     void accept();
+    void rest(net::Tenths span);
     bool make_room();
     void go(Caller& caller, State to);
     void hear(Caller& caller);
--- /dev/null
+++ b/src/simnet/nearby.cpp
@@ -0,0 +1,72 @@
+#include "simnet/nearby.h"
+
+#include <utility>
+
+namespace lemonstair::simnet {
+
+void Nearby::unlisten(const std::string& name, Neighbour& who) {
+    const auto it = doors_.find(name);
+    if (it == doors_.end() || it->second.who != &who) return;
+    for (const std::uint32_t line : it->second.calls) close(line, 1);
+    doors_.erase(it);
+}
+
+std::uint32_t Nearby::connect(const std::string& name, Neighbour& who) {
+    const auto it = doors_.find(name);
+    if (it == doors_.end()) return none;
+    const auto line = static_cast<std::uint32_t>(lines_.size());
+    lines_.emplace_back();
+    lines_.back().who[0] = &who;
+    it->second.calls.push_back(line);
+    it->second.who->stirred_nearby();
+    return line;
+}
+
+bool Nearby::called(const std::string& name, Neighbour& who) const {
+    const auto it = doors_.find(name);
+    return it != doors_.end() && it->second.who == &who && !it->second.calls.empty();
+}
+
+std::uint32_t Nearby::accept(const std::string& name, Neighbour& who) {
+    if (!called(name, who)) return none;
+    auto& calls = doors_[name].calls;
+    const std::uint32_t line = calls.front();
+    calls.pop_front();
+    lines_[line].who[1] = &who;
+    return line;
+}
+
+// What is on its way holds the connections too.
+void Nearby::send(std::uint32_t line, int side, std::string_view bytes, const std::vector<End>& ends) {
+    Line& l = lines_[line];
+    if (!l.open[1 - side]) return;
+    for (const End end : ends) network_.hold(end, *this);
+    l.to[1 - side].push_back({std::string(bytes), ends});
+    stir(l, 1 - side);
+}
+
+Nearby::Packet Nearby::receive(std::uint32_t line, int side, Ear& owner) {
+    auto& packets = lines_[line].to[side];
+    Packet packet = std::move(packets.front());
+    packets.pop_front();
+    for (const End end : packet.ends) {
+        network_.hold(end, owner);
+        network_.let_go(end, *this);
+    }
+    return packet;
+}
+
+void Nearby::close(std::uint32_t line, int side) {
+    Line& l = lines_[line];
+    l.open[side] = false;
+    drop(l.to[side]);
+    stir(l, 1 - side);
+}
+
+void Nearby::drop(std::deque<Packet>& packets) {
+    for (const Packet& packet : std::exchange(packets, {}))
+        for (const End end : packet.ends)
+            if (!network_.let_go(end, *this)) network_.close(end);
+}
+
+}  // namespace lemonstair::simnet
--- a/src/simnet/network.cpp
+++ b/src/simnet/network.cpp
@@ -65,6 +65,27 @@
     return end;
 }
 
+void Network::hold(End end, Ear& also) {
+    Side& s = at(end);
+    if (s.owner != nullptr) s.before.push_back(s.owner);
+    s.owner = &also;
+    if (s.open && !s.forgotten) also.stirred(end);
+}
+
+bool Network::let_go(End end, Ear& one) {
+    Side& s = at(end);
+    if (s.before.empty()) return false;
+    if (s.owner == &one) {
+        s.owner = s.before.back();
+        s.before.pop_back();
+        stir(end);
+    } else {
+        const auto it = std::find(s.before.begin(), s.before.end(), &one);
+        if (it != s.before.end()) s.before.erase(it);
+    }
+    return true;
+}
+
 End Network::connect(Machine from, const Address& to, Ear& owner) {
     const End end{static_cast<std::uint32_t>(streams_.size()), 0};
     streams_.emplace_back();
--- a/src/simnet/process.h
+++ b/src/simnet/process.h
@@ -10,13 +10,14 @@
 #include <vector>
 
 #include "net/system.h"
+#include "simnet/nearby.h"
 #include "simnet/network.h"
 
 namespace lemonstair::simnet {
 
 // A pass of the loop that waits returns at once, as if interrupted, and the next comes when something is
 // ready or the wait is over: so one thread plays many nodes. Each pass takes a little time.
-class Process final : public net::System, public Ear, public Actor {
+class Process final : public net::System, public Ear, public Actor, public Neighbour {
   public:
     struct Traits {
         Tenths clock_ahead = 0;          // of the agenda's
@@ -39,6 +40,10 @@
     // The whole system has no descriptor left but those that this process gives up itself.
     void starve(bool on) { most_now_ = on ? held_ : traits_.descriptors; }
     std::map<std::string, std::string>& files() { return files_; }
+    // What the platform gives it before it runs: the machine's place for packets, and a listener, whose
+    // number is handed back.
+    void live_beside(Nearby& nearby) { nearby_ = &nearby; }
+    int inherit(SharedListener& listener);
     // It dies: what it held is reset, unless its machine has gone too.
     void die();
 
@@ -64,6 +69,7 @@
         return std::min(asked, traits_.descriptors);
     }
     net::Fd listen_on(const Address& at) override;
+    void will_hear_only_who_speaks(int) override {}  // as a system that does not know how
     net::Fd datagrams_on(const Address& at) override;
     net::Fd connect_to(const Address& to) override;
     net::Fd accept(int listener) override;
@@ -90,18 +96,33 @@
     // ---- Ear, Actor
     void stirred(End) override { wake(); }
     void called(const Address&) override { wake(); }
+    void stirred_nearby() override { wake(); }
     void heard(const Address& at, const Address& from, std::span<const std::uint8_t> bytes) override;
     void happen(std::uint64_t token) override;
 
   private:
-    enum class Use : std::uint8_t { free, stream, listener, datagrams, signals, spare };
+    enum class Use : std::uint8_t {
+        free,
+        stream,
+        listener,
+        shared,
+        near_door,
+        near_line,
+        datagrams,
+        signals,
+        spare
+    };
     struct Slot {
         Use use = Use::free;
         bool resets = false;
+        int side = 0;            // of a line nearby
+        std::uint32_t line = 0;  // nearby
+        std::string name;
         End end;
         Address at;
         std::deque<std::pair<Address, std::vector<std::uint8_t>>> post;  // at most 256 datagrams
     };
+    net::Fd near_line(std::uint32_t line, int side);
     int take(Use use);  // the lowest free number; -1 with errno
     Slot& slot(int fd) { return slots_[static_cast<std::size_t>(fd)]; }
     short ready(const pollfd& p) const;
@@ -118,6 +139,8 @@
     Traits traits_;
     Pass pass_;
     std::vector<Slot> slots_;
+    Nearby* nearby_ = nullptr;
+    SharedListener* shared_ = nullptr;
     std::deque<int> signals_;
     std::map<std::string, std::string> files_;
     bool running_ = false, dead_ = false;
--- a/src/stand/clients.cpp
+++ b/src/stand/clients.cpp
@@ -71,6 +71,7 @@
         c.answered_at = town_.now();
         if (!c.leaving) c.in = true;
     }
+    if (c.got.find("BUSY\r\n") != std::string::npos) c.in = false;
     if (got.error != 0 && got.error != ECONNRESET) {
         c.leaving = false;  // nobody listens: whoever comes up there next is another
         c.in = c.in && town_.now() - c.answered_at <= notices_after_;
--- a/src/tunnel/admit.cpp
+++ b/src/tunnel/admit.cpp
@@ -10,7 +10,7 @@
 
 std::size_t Admit::room() const {
     const std::size_t sockets = floor_.granted();
-    const std::size_t kept = Floor::fewest_left + floor_.launch.callers +
+    const std::size_t kept = Floor::fewest_left + floor_.launch.callers + floor_.for_other +
                              probe::most_lines(floor_.hosts.size(), sockets) + sockets / 16;
     return sockets > kept ? (sockets - kept) / 2 : 1;
 }
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -69,8 +69,10 @@
     // Descriptors that are left when no more connections are accepted, if only to be told to go: for what the
     // node needs beside tunnels, the listener, discovery, the peers, the log and others, and for setups.
     static constexpr std::size_t fewest_left = 12;
+    // That a process has beside those in its loop: the standard ones and the spares.
+    static constexpr std::size_t outside_loop = 6;
     // Whether only so many of the descriptors granted are left, those outside the loop among them.
-    bool down_to(std::size_t left) const { return loop.descriptors() + left >= granted(); }
+    bool down_to(std::size_t left) const { return loop.descriptors() + for_other + left >= granted(); }
     // Another process of this node may hold a part of what both are granted together.
     std::size_t granted() const { return launch.sockets > elsewhere ? launch.sockets - elsewhere : 0; }
     std::size_t taking_in() const { return in_hand - admitted - departing; }
@@ -93,6 +95,7 @@
     Tally tally;
     bool ready = false;         // what PING is told
     std::size_t elsewhere = 0;  // descriptors that another process of this node holds
+    std::size_t for_other = 0;  // left to one that may come, or for what it takes before it can say so
     std::size_t in_hand = 0;   // tunnels that are not free
     std::size_t admitted = 0;  // of these, those past their first line and before their last words
     std::size_t departing = 0;
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -48,6 +48,8 @@
             floor_.down_to(Floor::fewest_left))
             at_door = true;
         if (at_door && floor_.at_door >= most_at_door) return rest();
+        // Of what two processes are granted together the system knows nothing.
+        if (floor_.elsewhere > 0 && floor_.down_to(Floor::outside_loop)) return rest();
         net::Fd fd = listener_.accept();
         if (!fd.open()) {
             if (!net::none_left(errno) || book_.make_room()) return;
