A client whose line comes in pieces does not give way to silent ones that came after it

Need: with few descriptors the client that is quiet for longest is closed for the next one.

Change: quiet is measured from the last bytes that came.

--- a/src/tunnel/book.cpp
+++ b/src/tunnel/book.cpp
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -95,13 +96,15 @@
         const Tunnel& t = floor_.tunnels[at];
         const bool speaks = t.state == State::departing;
         if (t.state != State::taking_in && !(speaks && spoke)) continue;
-        if (now - t.since < (speaks ? moment_to_end : moment_to_speak)) continue;
-        if (found && spoke == speaks && t.since >= since) continue;
+        // One that sends its line in pieces is not silent between them.
+        const Tenths quiet_since = speaks ? t.since : std::max(t.since, t.heard_at);
+        if (now - quiet_since < (speaks ? moment_to_end : moment_to_speak)) continue;
+        if (found && spoke == speaks && quiet_since >= since) continue;
         std::array<char, 1> next{};
         if (!speaks && t.client.peek(next).bytes > 0) continue;  // it is heard in this pass
         found = true;
         spoke = speaks;
-        since = t.since;
+        since = quiet_since;
         oldest = floor_.id_of(at);
     }
     if (!found) return false;
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -96,8 +96,8 @@
     bool ready = false;         // what PING is told
     std::size_t elsewhere = 0;  // descriptors that another process of this node holds
     std::size_t for_other = 0;  // left to one that may come, or for what it takes before it can say so
-    std::size_t in_hand = 0;   // tunnels that are not free
-    std::size_t admitted = 0;  // of these, those past their first line and before their last words
+    std::size_t in_hand = 0;    // tunnels that are not free
+    std::size_t admitted = 0;   // of these, those past their first line and before their last words
     std::size_t departing = 0;
     std::size_t at_door = 0;  // in hand only to be declined
 
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -92,6 +92,7 @@
     const auto got = t.client.read({at, room});
     if (got.error != 0 || got.ended) return book_.drop(id);
     t.opening.added(got.bytes);
+    if (got.bytes > 0) t.heard_at = floor_.loop.now();
     for (;;) {
         const auto text = t.opening.view();
         const auto end = text.find('\n');
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -238,6 +238,25 @@
         [&] { return std::all_of(silent.begin(), silent.end(), [](End& e) { return e.over(); }); }));
 }
 
+TEST_CASE("a client whose line comes in pieces is not taken for a silent one when hundreds of those come") {
+    Town town(Town::Terms{.sockets = 64});
+    const std::string line = town.line();
+    End slow = town.client();
+    std::vector<End> crowd;
+    for (std::size_t at = 0; at < line.size(); at += 4) {
+        slow.say(line.substr(at, 4));
+        town.pass(5);
+        for (int i = 0; i < 12; ++i) crowd.push_back(town.client(i % 2 == 0 ? "" : "OPEN half"));
+        town.pass(30);
+    }
+    End h = town.setup();
+    h.say("UP r\r\n");
+    CHECK(town.until([&] { return slow.heard("UP r\r\n"); }));
+    // What all these connections hold is bounded: a buffer or none for each, whatever was written of lines.
+    CHECK(town.node->holds().buffers <= 64);
+    CHECK(town.node->holds().descriptors <= 64);
+}
+
 TEST_CASE("silent clients hold a quarter of the descriptors at most, however many come") {
     Town town({.mode = "pass", .sockets = 200, .probing = false});
     std::vector<End> silent;
