--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -874,8 +874,9 @@
     bool take_over(std::string_view told) override { return carry::read(told, *this); }
     bool hand_over(std::uint64_t id, std::string& into) const override {
         const std::uint32_t at = tun_index.find(id);
-        if (at != none && tuns[at].state == State::standing) carry::write(into, tuns[at], eps[tuns[at].ep].id);
-        return at != none && tuns[at].state == State::standing;
+        const bool stands = at != none && tuns[at].state == State::standing;
+        if (stands) carry::write(into, tuns[at], eps[tuns[at].ep].id);
+        return stands;
     }
     bool taken_over(std::uint64_t id, std::string_view told) override {
         Tun t{.id = id, .setups = 1};
