A new process asks an old one for four seconds in all, not for two more at the end

Seen on a last reading: Succession::ask gave each asking two seconds, also one begun just before the four of the whole wait were over; with an old process that refuses and is then stuck the yes came at some 6.2 s, past the platform's six, and operating.md said four.

Change: an asking has no more than what is left.

--- a/src/handover/succession.cpp
+++ b/src/handover/succession.cpp
@@ -39,7 +39,8 @@
 
 void Succession::ask() {
     send({.kind = Kind::greet, .held = static_cast<std::uint32_t>(party_.held()), .text = node_});
-    watch_over(longest_asking);
+    // Asked late, it has no more than what is left of the whole wait.
+    watch_over(std::min(longest_asking, started_ + longest_waiting - loop_.now()));
 }
 
 void Succession::watch_over(Tenths longest) {
@@ -72,9 +73,14 @@
     if (stand_ == Stand::alone && !line_.stands()) return;
     log_.error() << "hand-over: the line to the other process is given up, " << why;
     line_.hang_up();
-    const bool asked = stand_ == Stand::asking;
+    if (stand_ == Stand::asking) return begin_alone();
     go(Event::parted);
-    if (asked) party_.begin({}, {});
+}
+
+// The old process told nothing that could be used.
+void Succession::begin_alone() {
+    go(Event::parted);
+    party_.begin({}, {});
 }
 
 void Succession::broken() {
@@ -91,8 +97,7 @@
     memory_.clear();
     if (loop_.now() - started_ < longest_waiting)
         return loop_.at(loop_.now() + again_after, *this, again_timer);
-    go(Event::parted);
-    party_.begin({}, {});
+    begin_alone();
 }
 
 // A third process, while a second takes the first one's place, has to wait.
@@ -228,8 +233,7 @@
     if (token == again_timer) {
         if (stand_ != Stand::asking || line_.stands()) return;
         if (line_.call()) return ask();
-        go(Event::parted);
-        return party_.begin({}, {});
+        return begin_alone();
     }
     looking_ = stand_ != Stand::alone || line_.stands();
     if (!looking_) return;
--- a/src/handover/succession.h
+++ b/src/handover/succession.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 #include <vector>
 
 #include "handover/course.h"
@@ -64,6 +64,7 @@
     bool go(Event event);
     void ask();
     void ask_later();
+    void begin_alone();
     void part(std::string_view why);
     void take(const Packet& packet, std::vector<net::Fd>& descriptors);
     void tell_state();
@@ -85,7 +86,7 @@
     Stand stand_ = Stand::alone;
     net::Tenths give_up_at_ = 0, started_ = 0, since_ = 0;
     std::string list_, memory_;
-    std::unordered_set<std::uint64_t> out_;  // tunnels sent that the other has not said to have
+    std::set<std::uint64_t> out_;  // tunnels sent that the other has not said to have
     std::size_t went_ = 0, came_ = 0, held_there_ = 0, held_told_ = 0;
 };
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -234,19 +234,13 @@
 }
 
 std::string World::file_for(std::uint32_t node, const net::Address& discovery) const {
-    const auto name = [](const net::Address& a) {
-        const std::uint32_t ip = ntohl(a.at.sin_addr.s_addr);
-        return std::to_string(ip >> 24) + "." + std::to_string(ip >> 16 & 255U) + "." +
-               std::to_string(ip >> 8 & 255U) + "." + std::to_string(ip & 255U) + ":" +
-               std::to_string(ntohs(a.at.sin_port));
-    };
     const auto flag = [](bool b) { return std::string(b ? "true" : "false"); };
     const auto s = [](Tenths t) { return std::to_string(static_cast<double>(t) / second); };
     std::string known, peers, profiles;
     const auto n_known = static_cast<std::uint32_t>(day_.known * day_.hosts + 0.5);
     for (std::uint32_t h = 0; h < n_known; ++h) known += (h > 0 ? "," : "") + stand::member_json(entries_[h]);
     for (std::uint32_t n = 0; n < day_.nodes; ++n)
-        peers += (n > 0 ? ",\"" : "\"") + name(simnet::Network::address(n, peer_port)) + "\"";
+        peers += (n > 0 ? ",\"" : "\"") + net::address_text(simnet::Network::address(n, peer_port)) + "\"";
     for (const stand::Profile& p : town_.profiles) {
         constexpr const char* effects[] = {"read_like", "idempotency_key", "non_idempotent"};
         constexpr const char* scopes[] = {"all", "zone", "cell"};
@@ -257,15 +251,15 @@
                     scopes[static_cast<std::size_t>(p.scope)] + R"(","stream":true})";
     }
     std::string text = R"({"name":"n)" + std::to_string(node) + R"(","listen":")" +
-                       name(simnet::Network::address(node, client_port)) + R"(","discovery":")" +
-                       name(discovery) + R"(","seed":")" +
+                       net::address_text(simnet::Network::address(node, client_port)) + R"(","discovery":")" +
+                       net::address_text(discovery) + R"(","seed":")" +
                        std::to_string(10000000 + day_.seed % 1000000 * 10 + node) +
                        R"(","limits":{"sockets":)" + std::to_string(day_.sockets) +
                        R"(},"known":{"revision":5,"complete":)" + flag(n_known == day_.hosts) +
                        R"(,"members":[)" + known + "]}";
     if (day_.peers)
-        text += R"(,"peer_listen":")" + name(simnet::Network::address(node, peer_port)) + R"(","peers":[)" +
-                peers + "]";
+        text += R"(,"peer_listen":")" + net::address_text(simnet::Network::address(node, peer_port)) +
+                R"(","peers":[)" + peers + "]";
     text += R"(,"settings":{"balancers":)" + std::to_string(day_.nodes) + R"(,"me":)" + std::to_string(node) +
             R"(,"zone":)" + std::to_string(node % 2) +
             R"(,"zones":["a","b"],"granularity":0.005,"membership_mode":"push","weight_kind":"nominal",)" +
