Module: what is told again and again and who reports moves to talk.h; new homes say the old are full

Ruled out: a late home message (it comes in ms), too few moves, the first guess of a host's room (1.2 instead of 2.5: no gain). Change: home() takes the homes before it for full up to home_limit, as pending load that lapses like any other.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -8,7 +8,7 @@
 #include <cmath>
 
 #include "balance/carry.h"
-#include "balance/loads.h"
+#include "balance/talk.h"
 
 namespace lemonstair {
 namespace {
@@ -16,15 +16,11 @@
 // The mechanism's figures (docs/design.md gives the source of each).
 constexpr std::size_t near_tail = 5;
 constexpr Tenths tail_wait = second / 5;
-constexpr Tenths refresh_every = 10 * second, forget_after = 4 * refresh_every;  // after three missed
+constexpr Tenths forget_after = 4 * refresh_every;  // after three missed
 constexpr Tenths sweep_every = second / 10, probe_every = second;
 constexpr Tenths report_lag = 2 * second;  // what is placed or moved shows in reports by then
 constexpr Tenths silent_peer = 5 * second / 2, trial_pause = 2 * second;
 constexpr Tenths unheard_limit = second;
-constexpr double talk_part = 0.02;
-constexpr double usual_change = 0.1;  // of a load, that is told after the usual pause
-constexpr int not_reporting = 3;
-
 // The gate looks back about 3 s; its floor lets about one setup a second find out whether the jam is over.
 constexpr double gate_decay = witness::fades_to, gate_floor = 4;
 
@@ -43,8 +39,8 @@
 constexpr double move_from = 0.8;  // load from which tunnels are moved off an ep
 constexpr double move_gain = 0.5;  // what a move must win, in connections served instead of late
 
-struct Mind final : Balancer, peer::Listener, Loads {
-    Mind(Terms given, Host& to, Tenths at) : Loads(std::move(given), to, at) {
+struct Mind final : Balancer, peer::Listener, Talk {
+    Mind(Terms given, Host& to, Tenths at) : Talk(std::move(given), to, at) {
         ask_list_at = now + draw_span(list_spread());
         last_report = now - draw_span(report_every);
         for (double x = 0; x <= most_load; x += 1 / harm_steps)
@@ -52,12 +48,6 @@
         host.wake(now + sweep_every, 0);
     }
 
-    // Who has started or fallen silent is told to all where that is paid, if all nodes did so, by the tunnels
-    // of the time in which refreshes put the records right by themselves. Guards against a storm when many
-    // nodes start or end at once.
-    bool news_pays(int times = 1) const {
-        return paced(second, hearer_price(1) * nodes() / times, 20) <= refresh_every;
-    }
     void greet() {  // a node that has just started holds no records: the others send what it should hold
         greeted = true;
         if (news_pays()) say_hello();
@@ -141,10 +131,6 @@
     }
 
     // ---- the ring, the records
-    template <class Add>
-    void post(std::uint32_t node, Add&& add) {
-        if (talks() && node != terms.me && node != none) outbox.post(node, add);
-    }
     // Down the chain from its head, each member towards the tail.
     void pass_down(std::uint64_t key, std::uint32_t ep, Tenths stamp, std::uint32_t group, double load,
                    bool first) {
@@ -346,33 +332,6 @@
         reckon_talk();
         if (sums_known ? now - last_report >= report_pause : report_pause < 4 * report_every) tell_sums();
     }
-    void reckon_talk() {
-        const auto servers = static_cast<double>(eps.size());
-        const double reporters = std::min(nodes(), servers / 8 + 1);
-        report_pause = paced(report_every, hearer_price(peer::seen_bytes * servers) * nodes(), 8);
-        const double word = hearer_price(peer::report_bytes * servers / reporters);
-        tell_pause = paced(report_every, word * reporters, 16);
-    }
-    void tell_sums() {
-        const bool all = ++reports % 4 == 0;  // what is lost is told again in the end
-        outbox.tell_all_of([&](auto&& put) {
-            for (auto& e : eps) {
-                const bool good = e.good_at >= last_report;
-                if (e.life == Life::gone || (!all && std::abs(e.mine - e.told) < 0.02 * room(e) && !good))
-                    continue;
-                e.told = e.mine;
-                put([&](peer::Message& m) { return m.seen(e.id, good, e.mine); });
-            }
-        });
-        last_report = now;
-    }
-    // What is told and probed again and again is paid by the tunnels placed: it is done as often as this part
-    // of their credit pays for. The price is that of a round of all nodes, the tunnels those of all nodes.
-    Tenths paced(Tenths wanted, double price, int longest) const {
-        const double paid = price / (talk_part * std::max(placed_lately / 10 * tunnels_a_sample(), 0.05));
-        return std::clamp(static_cast<Tenths>(std::min(paid, 1e6) * second), wanted, longest * wanted);
-    }
-
     // ---- load and weights
     // What it costs all on an ep, in connections served late, when its load grows from x by a load of `more`,
     // which is counted in mean connections: the slope of x * late(x).
@@ -436,10 +395,21 @@
     }
     void home(std::uint32_t group, std::uint32_t ep) override {
         if (ep_of(ep) == nullptr || group == 0) return;
+        homes_full(group, ep);
         records.groups().set_home(group, ep, now);
         ep_of(ep)->home_at = now;
         expect(ep_index.find(ep), group_copy * mean_load());
     }
+    // A group gets another home where those before it have no room left, which its keeper knows from all its
+    // tunnels and others only from reports, seconds later. Guards against nodes that go on filling them.
+    void homes_full(std::uint32_t group, std::uint32_t but) {
+        for (const auto& p : records.groups().of(group)) {
+            const std::uint32_t at = ep_index.find(p.ep);
+            if (sums_known || at == none || p.ep == but || !is_home(p)) continue;
+            const double lack = home_limit() * room(eps[at]) - asked(eps[at]);
+            if (lack > 0) expect(at, lack);
+        }
+    }
     double home_limit() const {  // less while what was open before a start comes in before reports
         return std::max(now - born < handover ? home_full / 2 : home_full, fleet_load + 0.1);
     }
@@ -938,64 +908,6 @@
         e.room = e.room > 0 ? e.room + (seen - e.room) * 0.4 : seen;
     }
 
-    // Eps of one block have the same reporter, who tells of them in one message; the next two on the ring
-    // take its place one after the other where it says nothing. The blocks follow from the list alone: nodes
-    // that have the same list agree on them, however they came to it.
-    void find_reporters() {
-        constexpr std::uint32_t together = 8;
-        std::uint32_t listed_now = 0;
-        for (const auto& e : eps) listed_now += e.life == Life::gone ? 0 : 1;
-        const std::uint32_t blocks = listed_now / together + 1;
-        for (auto& e : eps) {
-            Ring::Chain nodes{};
-            const std::size_t n = ring.chain(
-                mix(e.id % blocks), 3, [this](std::uint32_t k) { return lives(k); }, nodes);
-            e.reporters = {none, none, none};
-            std::copy_n(nodes.begin(), n, e.reporters.begin());
-            const auto mine = std::find(e.reporters.begin(), e.reporters.end(), terms.me);
-            e.rank = static_cast<int>(mine - e.reporters.begin());
-        }
-        ring_changed = false;
-    }
-    // The reporter's word to all: at once where an ep fell silent or came back, else as its price allows, and
-    // the sooner the more its load has changed.
-    bool to_tell(const Ep& e) const {
-        if (e.life != Life::in_service || e.rank == not_reporting || e.aside) return false;
-        if (e.bad_told) return now - e.aside_at >= e.rank * second;
-        if (std::isnan(e.x) || now - last_report < std::max(second, tell_pause / 8)) return false;
-        const double change = std::min(std::abs(e.x - e.x_told) / usual_change, 8.0);
-        const auto waited = static_cast<double>(now - e.x_told_at) / (1 + 2 * e.rank);
-        return waited * (change > 0.5 ? change : 0.25) >= static_cast<double>(tell_pause);
-    }
-    // That one is dead, once enough nodes found it so; the next in rank says it where those before do not.
-    bool to_tell_dead(const Ep& e) const {
-        if (!e.aside || e.life != Life::in_service || e.rank == not_reporting) return false;
-        if (now - e.aside_at < e.rank * second / (e.silent ? 4 : 1)) return false;
-        return now - e.bad_told_at >= witness::renewed_after &&
-               (e.silent ? e.found_dead.dead(now) : e.faulty.several(now));
-    }
-    void tell_dead(Ep& e) {
-        const witness::Two by = (e.silent ? e.found_dead : e.faulty).newest();
-        e.bad_told = true;
-        e.bad_told_at = now;
-        outbox.tell_all([&](auto& m) { m.dead(e.id, by[1].when, by[0].node, by[1].node); });
-    }
-    void tell_reports() {
-        if (std::none_of(eps.begin(), eps.end(), [this](const Ep& e) { return to_tell(e); })) return;
-        outbox.tell_all_of([&](auto&& put) {
-            for (auto& e : eps) {
-                const bool told_with = e.rank != not_reporting && e.life == Life::in_service && !e.aside &&
-                                       std::abs(e.x - e.x_told) > usual_change / 4;
-                if (!told_with && !to_tell(e)) continue;
-                e.bad_told = false;
-                e.x_told = std::isnan(e.x) ? 0 : e.x;
-                e.x_told_at = now;
-                put([&](peer::Message& m) { return m.report(e.id, true, e.x_told); });
-            }
-        });
-        last_report = now;
-    }
-
     // ---- moving tunnels off an ep that serves none of them well
     // The tunnels whose moves win the most go first; the weights place them when they are back. A node moves
     // its part of the excess, by chance where that is less than one tunnel, so that not all move at once.
