--- a/tests/fake.h
+++ b/tests/fake.h
@@ -37,7 +37,7 @@
     Tenths wait, at;
 };
 
-struct Node final : Host {
+struct Node : Host {
     std::vector<Sent> sent;
     std::vector<std::uint64_t> declined, errors, moved, probes;
     std::vector<std::pair<std::uint32_t, std::vector<std::uint8_t>>> post;  // 99: to all
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -544,7 +544,8 @@
     return all;
 }
 
-TEST_CASE("among so many that hellos of all would cost more than they spare, who starts or ends is not told") {
+TEST_CASE(
+    "among so many that hellos of all would cost more than they spare, who starts or ends is not told") {
     for (const std::uint32_t nodes : {3U, 100U}) {
         auto terms = Node::usual(0, nodes);
         terms.prices.peer = 0.01;
@@ -577,7 +578,8 @@
     CHECK(b.post[0].first == 99);
 }
 
-TEST_CASE("one node reports for all eps; where it says nothing, the next on the ring does, and then the third") {
+TEST_CASE(
+    "one node reports for all eps; where it says nothing, the next on the ring does, and then the third") {
     constexpr std::uint32_t nodes = 90;
     const auto all = tier_of(nodes, {1, 2, 3, 4, 5, 6, 7, 8});
     std::vector<std::uint32_t> dead;
@@ -611,7 +613,8 @@
     CHECK(bytes < 89 * 65 * 10);  // eight eps in a message, ten times in 80 s
 }
 
-TEST_CASE("a zone comes back cold: all nodes together keep to each host's budget, and use a good part of it") {
+TEST_CASE(
+    "a zone comes back cold: all nodes together keep to each host's budget, and use a good part of it") {
     constexpr std::uint32_t nodes = 80;
     const auto all = tier_of(nodes, {1, 2});
     for (std::uint32_t n = 0; n < nodes; ++n) {
@@ -636,8 +639,8 @@
         n.arrive(++tun);
         for (int way = 0; way < 3; ++way) deliver(tier);  // a unit is asked for, and lent
         for (auto& one : all)
-            spent += static_cast<std::size_t>(std::count_if(one->sent.begin(), one->sent.end(),
-                                                            [](const Sent& x) { return x.ep == 3; }));
+            spent += static_cast<std::size_t>(
+                std::count_if(one->sent.begin(), one->sent.end(), [](const Sent& x) { return x.ep == 3; }));
         if (i % 10 == 9) each_half_second.push_back(std::exchange(spent, 0));
     }
     // Forty tunnels are 0.9 of a host, and it takes them as fast as fills it over its warm-up of 8 s: 5.6 a
@@ -827,6 +830,54 @@
     CHECK(first <= 15);
 }
 
+namespace {
+
+// A node among thirty that knows no sums, with tunnels of group "g" alone.
+struct Grouped : Node {
+    static Terms terms() {
+        auto t = Node::usual(0, 30);
+        t.groups = true;
+        return t;
+    }
+    Grouped() : Node(terms()) {}
+    std::uint64_t tunnels = 0;
+    std::string group = "g";
+    std::uint32_t number() const { return static_cast<std::uint32_t>(hash_text(group) | 1); }
+    void come(int times) {
+        for (int i = 0; i < times; ++i) {
+            ++tunnels;
+            b->arrive(tunnels, {.key = key_of(tunnels), .group = group, .give_up_at = now + 3 * s});
+            if (!sent.empty() && sent.back().tun == tunnels) open(tunnels);
+        }
+    }
+    void hears(std::uint32_t from, auto&& add) {
+        peer::Message m;
+        add(m);
+        b->told(from, m.bytes());
+    }
+    void told_home(std::uint32_t ep) {
+        hears(5, [&](peer::Message& m) { m.home(number(), ep); });
+    }
+    auto sent_to(std::uint32_t ep, std::size_t since) const {
+        return std::count_if(sent.begin() + static_cast<std::ptrdiff_t>(since), sent.end(),
+                             [&](const Sent& x) { return x.ep == ep; });
+    }
+};
+
+}  // namespace
+
+TEST_CASE("another home of a group says that those before it have no room left") {
+    Grouped n;
+    n.list({1, 2, 3, 4, 5, 6}, ListKind::remembered);
+    n.pass(6 * s);
+    n.told_home(1);
+    n.come(4);
+    CHECK(n.sent_to(1, 0) == 4);
+    n.told_home(2);  // the keeper has seen what this node has not
+    n.come(8);
+    CHECK(n.sent_to(1, 4) == 0);
+}
+
 TEST_CASE("two hosts that refuse all connections at once do not shut the gate for those who reach others") {
     Node n;
     n.list({1, 2, 3, 4, 5});
