--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -114,7 +114,7 @@
     void open_account() {
         placed_lately = static_cast<double>(eps.size()) / 3 * 10 / tunnels_a_sample();
         reckon_talk();
-        if (report_pause < 4 * report_every)
+        if (talks() && report_pause < 4 * report_every)
             for (auto& p : peers) p.summed = now;
         weigh_fleet();
     }
@@ -617,6 +617,7 @@
             }
         too_dear = total > 0 && !t.mid_flow && least > worth_of(t.profile);
         if (total <= 0 || too_dear || (waits_for_unit(t) && least - short_price > unit_gain)) return none;
+        if (by_key(t)) return draw_by_key(t.key);
         double at = draw() * total;
         std::uint32_t last = none;
         for (std::uint32_t i = 0; i < eps.size(); ++i) {
@@ -627,6 +628,22 @@
         }
         return last;
     }
+    // Where nodes may not talk, no record reaches who meets a tunnel mid-flow. Then the chance in the draw is
+    // the key's own (rendezvous hashing), the same at all nodes: by like weights they find the ep that it was
+    // placed on. A client that comes back from a break is drawn for anew.
+    bool by_key(const Tun& t) const {
+        return t.keyed && !t.again && terms.packets_pass && !talks() && peers.size() > 1;
+    }
+    std::uint32_t draw_by_key(std::uint64_t key) const {
+        std::uint32_t best = none;
+        double most = 0;
+        for (std::uint32_t i = 0; i < eps.size(); ++i) {
+            const double chance = (static_cast<double>(mix(key ^ mix(ids[i])) >> 11) + 0.5) * 0x1p-53;
+            const double drawn = weights[i] / -std::log(chance);
+            if (drawn > most) best = i, most = drawn;
+        }
+        return best;
+    }
     // The ep that would best take the tunnel is short of nothing but a unit that another node may have.
     bool waits_for_unit(const Tun& t) const {
         return short_of != none && talks() && (too_dear || t.unit_by == 0 || now < t.unit_by);
@@ -702,6 +719,7 @@
         t = {.id = id, .give_up_at = a.give_up_at, .arrived = now, .profile = a.profile};
         t.keyed = !a.key.empty();
         t.mid_flow = a.mid_flow;
+        t.again = a.again;
         if (t.keyed) t.key = hash_text(a.key);
         if (!a.group.empty()) t.group = static_cast<std::uint32_t>(hash_text(a.group) | 1);
         const Record* r = t.keyed ? records.find(t.key) : nullptr;
@@ -801,6 +819,7 @@
             if (ending == Ending::ok) ++opened_lately;
         }
         if (t.state == State::standing && ending == Ending::ok) ++ends;
+        if (t.state == State::standing && ending == Ending::broken) eps[t.ep].cut_at = now;
         if (settled || t.state == State::answered) return release(at);
         if (t.state != State::setting_up) return finish(at);
         const Profile& p = terms.profiles[t.profile];
@@ -917,7 +936,7 @@
         if (e.carried == 0 || now - e.moved_at < second / 2 || !gate_was_open || setting_up > 4) return;
         const double x = load_of(e, asked(e) - e.pending);
         const bool seen = sums_known || e.x_at > e.moved_at + report_lag;  // what was moved last
-        if (!dead && (x < move_from || x < 1.2 * fleet_load || !seen)) return;
+        if (!dead && (blind() || x < move_from || x < 1.2 * fleet_load || !seen)) return;
         e.moved_at = now;
         double left = dead ? e.mine / 2 : (x - move_from) / x * e.mine;
         while (left > 0 && moves_left >= 1) {
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -72,8 +72,9 @@
     std::uint32_t seed = 1;
     bool must_ask = false;  // discovery speaks only when asked
     bool groups = false;
-    bool sized = false;        // the listed size compares eps
-    bool hears_delay = false;  // the front tells how long messages take at each ep, answered or not
+    bool sized = false;         // the listed size compares eps
+    bool packets_pass = false;  // tunnels go on through other nodes, mid-flow
+    bool hears_delay = false;   // the front tells how long messages take at each ep, answered or not
 };
 
 // One load report; what did not come is not a number.
@@ -114,6 +115,7 @@
     double load = 0;  // expected, as a share of a standard core; 0: not told
     std::uint32_t profile = 0;
     bool mid_flow = false;
+    bool again = false;  // its client comes back after a break or a move
 };
 
 class Balancer {
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -40,7 +40,7 @@
     std::array<std::uint32_t, 4> tried{none, none, none, none};
     int setups = 0, unknowing = 0, asked = 0;
     State state = State::idle;
-    bool keyed = false, mid_flow = false, asked_all = false;
+    bool keyed = false, mid_flow = false, again = false, asked_all = false;
 };
 
 struct Ep {
@@ -76,6 +76,7 @@
     Tenths x_at = -never, x_told_at = -never;
     Tenths bad_at = -never, witnessed_at = -never;  // last found dead from here; and said so
     Tenths hearsay_until = 0;                       // of what others say alone; 0: not set aside by that
+    Tenths cut_at = -never;                         // when it last cut off an open tunnel
     Tenths bad_told_at = -never;                    // when all were last told that it is dead
     Tenths home_at = -never;                        // when it was last told to be a group's home
     std::array<std::uint32_t, 3> reporters{none, none, none};
--- a/src/config/launch.cpp
+++ b/src/config/launch.cpp
@@ -106,8 +106,6 @@
     l.sockets = limits.whole("sockets", usual_sockets);
     if (l.sockets < fewest_sockets) limits.fail("sockets", "is under 32: too few to serve");
     if (l.admin) l.callers = std::clamp<std::size_t>(l.sockets / 16, fewest_callers, most_callers);
-    const json::Value domain = settings.inner("domain");
-    l.packets_pass = domain.text("mode", "proxy") == "pass";
     // A line is answered at once whatever waits at its host: how long messages take there shows in no answer.
     l.terms.hears_delay = false;
     l.reports = settings.inner("report").text("via", "none") != "none";
@@ -129,7 +127,7 @@
                        keep("zone", now.terms.zone == next.terms.zone && now.zones == next.zones) &
                        keep("profiles", now.profiles == next.profiles) &
                        keep("membership_mode", now.terms.must_ask == next.terms.must_ask) &
-                       keep("mode", now.packets_pass == next.packets_pass) &
+                       keep("mode", now.terms.packets_pass == next.terms.packets_pass) &
                        keep("peers", now.terms.limits.peers == next.terms.limits.peers);
     if (alike) {
         next.terms.seed = now.terms.seed;
--- a/src/config/launch.h
+++ b/src/config/launch.h
@@ -30,7 +30,6 @@
     std::vector<net::Address> peers;    // in the order of the nodes' numbers, this one's own among them
     Tenths connect_timeout = 0;
     std::size_t sockets = 0;    // descriptors that the node may hold
-    bool packets_pass = false;  // connections go on through another node when this one dies
     bool reports = false;       // hosts tell their load when probed
 };
 
--- a/src/config/terms.cpp
+++ b/src/config/terms.cpp
@@ -54,6 +54,7 @@
     t.must_ask = f.text("membership_mode", "push") == "ask";
     t.groups = domain.flag("groups");
     t.hears_delay = domain.flag("tells_delay");
+    t.packets_pass = domain.text("mode", "proxy") == "pass";
     t.sized = f.text("weight_kind", "none") != "none";
     return t;
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -325,7 +325,7 @@
     // Its clients go over to the new version, and notice nothing.
     if (handed) return;
     // Packets that pass go on through another node: there a move would only break what goes on unbroken.
-    if (!launch_.packets_pass) move_all();
+    if (!launch_.terms.packets_pass) move_all();
 }
 
 // Spread over a second, so that not all clients come again at once, and over well before the end.
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -246,7 +246,8 @@
                 .give_up_at = lemonstair::config::down(f.number("valid_until")),
                 .load = (bits & 1) != 0 ? f.number("expected", 0) : 0,
                 .profile = f.small("qos"),
-                .mid_flow = (bits & 8) != 0};
+                .mid_flow = (bits & 8) != 0,
+                .again = (bits & 16) != 0};
     }
     static void fleet(Balancer& b, const Value& f) {
         using lemonstair::Life, lemonstair::ListKind;
--- a/src/tunnel/opening.cpp
+++ b/src/tunnel/opening.cpp
@@ -63,6 +63,7 @@
         if (name == "g") arrival.group = value;
         if (name == "at") holder = value;
         if (name == "mid") arrival.mid_flow = value == "1";
+        if (name == "again") arrival.again = value == "1";
         if (name == "h") return read_number(value, arrival.load) && arrival.load >= 0;
         return true;
     });
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -903,3 +903,86 @@
     CHECK(n.declined.empty());
     CHECK(n.setups_of(20) == 1);
 }
+
+namespace {
+
+// Another customer's fleet: nodes may not talk, eps tell nothing of their load.
+Terms mute(std::uint32_t me) {
+    auto terms = Node::usual(me, 3);
+    terms.limits.peers = terms.limits.probing = false;
+    terms.packets_pass = true;
+    terms.prices.cross_zone = 0.01;
+    terms.seed = me + 1;
+    return terms;
+}
+
+}  // namespace
+
+TEST_CASE("nodes that may not talk find the ep of a tunnel mid-flow by its key") {
+    Node a(mute(0)), b(mute(1));
+    for (auto* n : {&a, &b}) n->list({1, 2, 3, 4, 5, 6, 7, 8});
+    std::vector<int> used(9);
+    for (std::uint64_t t = 1; t <= 40; ++t) {
+        for (auto* n : {&a, &b}) n->pass(3 * s);
+        a.arrive(t, key_of(t));
+        const auto ep = a.last().ep;
+        ++used[ep];
+        a.open(t);
+        b.arrive(100 + t, key_of(t), true);
+        REQUIRE(b.setups_of(100 + t) == 1);
+        CHECK(b.last().ep == ep);
+    }
+    CHECK(std::count(used.begin(), used.end(), 0) <= 2);
+    CHECK(a.post.empty());
+}
+
+TEST_CASE("where nothing tells of load, eps of another zone take a part though crossing has a price") {
+    Node n(mute(0));
+    n.b->list_begin(ListKind::whole);
+    for (std::uint32_t i = 1; i <= 8; ++i) n.b->listed(i, i % 2, 0, Life::in_service, 1, 0);
+    n.b->list_end();
+    int far = 0;
+    for (std::uint64_t t = 1; t <= 200; ++t) {
+        n.pass(1 * s);
+        n.arrive(t, key_of(t));
+        far += n.last().ep % 2 != 0 ? 1 : 0;
+        n.open(t);
+    }
+    CHECK(far >= 40);
+    CHECK(far < 100);  // but the node's own zone goes first
+}
+
+TEST_CASE("where nothing tells of load, an ep that cuts a tunnel off gets no other for a while") {
+    Node n(mute(0));
+    n.list({1, 2, 3, 4});
+    n.arrive(1, "first");
+    const auto full = n.last().ep;
+    n.open(1);
+    n.end(1, Ending::broken, true);
+    const auto sent_there = [&](std::uint64_t from) {
+        for (std::uint64_t t = from; t < from + 40; ++t) {
+            n.arrive(t, key_of(t));
+            n.open(t);
+            n.end(t, Ending::ok, true);
+        }
+        return std::count_if(n.sent.end() - 40, n.sent.end(), [&](const Sent& x) { return x.ep == full; });
+    };
+    n.pass(1 * s);
+    CHECK(sent_there(100) == 0);
+    n.pass(16 * s);
+    CHECK(sent_there(200) > 0);
+}
+
+TEST_CASE("who comes back from a break is drawn for anew: its key does not lead it to the same ep for ever") {
+    Node n(mute(0));
+    n.list({1, 2, 3, 4, 5, 6, 7, 8});
+    std::vector<int> used(9);
+    for (std::uint64_t t = 1; t <= 40; ++t) {
+        n.pass(3 * s);
+        n.b->arrive(t, {.key = "k", .group = {}, .give_up_at = n.now + 3 * s, .again = true});
+        ++used[n.last().ep];
+        n.open(t);
+        n.end(t, Ending::ok, true);
+    }
+    CHECK(std::count_if(used.begin(), used.end(), [](int x) { return x > 0; }) >= 4);
+}
