Who leaves is through before it is killed; a client that has left is not sent on

Times that are constants. SIGKILL comes the longest deadline and 0.7 s after SIGTERM: 1.29 s there, where move_after 0.5 s and move_within 1 s (node.cpp) moved until 1.5 s and longest_ending 0.8 s (relay.cpp) added twice to that. Now src/node/departure.h reckons all of it from the settings' longest client timeout and the protocol, in one place; who empties is looked after every 50 ms.

Now the module is told by when it has to answer (answer_by), and who comes later gets no more time.

Exit. look_over() left when no tunnel was admitted or departing; a client's line in its socket or in the listener's queue, or half a line, counted for nothing. TakeIn::owes() looks first.

The client that has left. Ends that were asked for are heard first now; and a client that left before its line was read is dropped unasked.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -838,6 +838,11 @@
         if (!again || !gate_open()) return finish(at);
         place(at);
     }
+    void answer_by(Tenths when) override {
+        for (std::uint32_t i = 0; i < tuns.places(); ++i)
+            if (tuns.used(i)) tuns[i].give_up_at = std::min(tuns[i].give_up_at, when);
+        for (const auto i : held) tuns[i].due = std::min(tuns[i].due, when - 4 * terms.tick);
+    }
     void client_left(std::uint64_t id) override {
         const std::uint32_t at = tun_index.find(id);
         if (at == none) return;
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -142,6 +142,8 @@
     virtual void ended(std::uint64_t tun, int setup, std::uint32_t ep, Ending ending, Tenths took,
                        bool settled) = 0;
     virtual void client_left(std::uint64_t tun) = 0;
+    // The node will not be there for longer: no tunnel that waits now may wait past this.
+    virtual void answer_by(Tenths when) = 0;
     virtual void load_changed(std::uint64_t tun, double load) = 0;  // a share of a standard core
     virtual void messages_slow(std::uint64_t tun, std::uint32_t ep, Tenths takes) = 0;
     // No line has come from an ep for this long, though some are owed.
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -40,7 +40,10 @@
     for (std::uint32_t slot = 0, left = n > 0 ? static_cast<std::uint32_t>(n) : 0;
          left > 0 && slot < polled_.size(); ++slot) {
         if (polled_[slot].revents == 0) continue;
-        (uses_[slot].turn == Turn::first ? first_ : happened_)
+        // Who waits to hear of an end hears it before what came at the same time from elsewhere is acted on.
+        const bool end = (polled_[slot].events & POLLRDHUP) != 0 &&
+                         (polled_[slot].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+        (uses_[slot].turn == Turn::first || end ? first_ : happened_)
             .push_back({slot, uses_[slot].serial, polled_[slot].revents});
         // Guards against spinning: poll tells of a connection that is over both ways whatever is asked of it,
         // and its reader may wait for room elsewhere. It is told once, and again when something is wanted of
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -24,7 +24,8 @@
     virtual void due(std::uint64_t token) = 0;
 };
 
-// Whose events go first in a pass: what must be answered soon whatever the rest brings.
+// Whose events go first in a pass: what must be answered soon whatever the rest brings. The end of a
+// connection that was waited for with POLLRDHUP goes first too.
 enum class Turn : std::uint8_t { usual, first };
 
 class Loop {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,12 +15,9 @@
 namespace {
 
 constexpr Tenths look_over_every = 2500, tally_every = 100000, costs_every = 10000;
-// After the word to leave, or the first no, the front goes on sending clients for a while; those are moved
-// with the rest.
-constexpr Tenths move_after = 5000, move_within = 10000;
 constexpr Tenths first_pause = 2500, longest_pause = 50000;
 
-enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer, costs_timer };
+enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer, costs_timer, empty_timer };
 
 // Opens what listens at a configured address; a fault names the key.
 template <class Open>
@@ -154,7 +151,22 @@
                 << " tunnels, room for " << stages_.admit.room();
     phase_ = to;
     stages_.floor.ready = ready();
-    if (to == Phase::drained || to == Phase::leaving) emptying_since_ = loop_.now();
+    floor_empties();
+}
+
+// What is in hand has to be over by a time; who comes from now on has no longer either.
+void Node::floor_empties() {
+    auto& floor = stages_.floor;
+    floor.answer_by = floor.over_by = tunnel::Floor::no_end;
+    if (phase_ != Phase::drained && phase_ != Phase::leaving) return;
+    departure_ = phase_ == Phase::leaving ? Departure::on_term(launch_.terms) : Departure::on_drain();
+    emptying_since_ = loop_.now();
+    empty_at_ = emptying_since_ + Departure::move_from;
+    loop_.at(empty_at_, *this, empty_timer);
+    // A drained node whose clients' packets pass keeps them, and goes on as it is.
+    if (phase_ == Phase::drained && launch_.terms.packets_pass) return;
+    floor.over_by = emptying_since_ + departure_.over_by;
+    stages_.send.answer_by(emptying_since_ + departure_.answer_by);
 }
 
 std::string_view Node::phase() const {
@@ -288,6 +300,7 @@
 void Node::due(std::uint64_t token) {
     if (token == look_over_timer) return look_over();
     if (token == costs_timer) return tell_costs();
+    if (token == empty_timer) return empty_out();
     if (token == list_timer) {
         if (handover::answers(succession_.stand())) watch_.open(hosts_.revision());
         return;
@@ -316,11 +329,17 @@
 void Node::look_over() {
     loop_.at(loop_.now() + look_over_every, *this, look_over_timer);
     stages_.relay.look_over();
-    if ((phase_ != Phase::drained && phase_ != Phase::leaving) || loop_.now() - emptying_since_ < move_after)
-        return;
+}
+
+// Often, since the last tunnels to open are to be moved in what is left of the time.
+void Node::empty_out() {
+    if ((phase_ != Phase::drained && phase_ != Phase::leaving) || loop_.now() < empty_at_) return;
+    empty_at_ = loop_.now() + Departure::look_every;
+    loop_.at(empty_at_, *this, empty_timer);
     const bool handed = handover::hands_over(succession_.stand());
     const auto& floor = stages_.floor;
-    if (phase_ == Phase::leaving && (handed ? floor.in_hand : floor.admitted + floor.departing) == 0)
+    if (phase_ == Phase::leaving && (handed ? floor.in_hand : floor.admitted + floor.departing) == 0 &&
+        !stages_.take_in.owes())
         return go(Phase::left);
     // Its clients go over to the new version, and notice nothing.
     if (handed) return;
@@ -328,12 +347,11 @@
     if (!launch_.terms.packets_pass) move_all();
 }
 
-// Spread over a second, so that not all clients come again at once, and over well before the end.
+// Spread, so that not all clients come again at once, and over well before the end.
 void Node::move_all() {
     auto& floor = stages_.floor;
-    const Tenths since = loop_.now() - emptying_since_ - move_after;
-    const Tenths left = std::max<Tenths>(move_within - since, 1);
-    const auto rounds = static_cast<std::size_t>(1 + left / look_over_every);
+    const Tenths left = std::max<Tenths>(emptying_since_ + departure_.move_until - loop_.now(), 0);
+    const auto rounds = static_cast<std::size_t>(1 + left / Departure::look_every);
     std::size_t quota = floor.in_hand / rounds + 1;
     for (std::uint32_t at = 0; at < floor.tunnels.places() && quota > 0; ++at) {
         if (!floor.tunnels.used(at) || floor.tunnels[at].state != tunnel::State::relaying) continue;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,6 +15,7 @@
 #include "handover/succession.h"
 #include "log/log.h"
 #include "net/loop.h"
+#include "node/departure.h"
 #include "node/orders.h"
 #include "node/peer_link.h"
 #include "operators/desk.h"
@@ -57,6 +58,8 @@
     void look_over();
     void tell_costs();              // what was added since the last line
     void tell_list(ListKind kind);  // without entries
+    void floor_empties();
+    void empty_out();
     void move_all();
     void renew();
     void leave();
@@ -83,8 +86,8 @@
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
 
-    // What a new process needs to begin, and what either may take between two words about what it holds. Guards
-    // against both together holding more than is granted.
+    // What a new process needs to begin, and what either may take between two words about what it holds.
+    // Guards against both together holding more than is granted.
     static constexpr std::size_t for_a_new_one = 16, for_the_other = 8;
     config::Launch launch_;
     json::Value known_;
@@ -105,7 +108,8 @@
     std::minstd_rand rng_;
     net::Socket signals_;
     Phase phase_ = Phase::starting;
-    Tenths emptying_since_ = 0;  // drained or leaving
+    Departure departure_ = Departure::on_drain();
+    Tenths emptying_since_ = 0, empty_at_ = 0;  // drained or leaving; when it is looked after next
     int failed_calls_ = 0;
     bool renew_at_begin_ = false;
 };
--- a/src/tunnel/admit.cpp
+++ b/src/tunnel/admit.cpp
@@ -15,10 +15,10 @@
     return sockets > kept ? (sockets - kept) / 2 : 1;
 }
 
-void Admit::admit(Id id, const Arrival& arrival, std::string_view holder) {
+void Admit::admit(Id id, Arrival arrival, std::string_view holder) {
     Tunnel& t = *floor_.find(id);
     ++floor_.tally.taken;
-    t.give_up_at = arrival.give_up_at;
+    t.give_up_at = arrival.give_up_at = std::min(arrival.give_up_at, floor_.answer_by);
     const bool full = floor_.admitted >= room();
     floor_.go(id, State::deciding);
     floor_.names.put(t.name, static_cast<std::uint32_t>(id));
--- a/src/tunnel/admit.h
+++ b/src/tunnel/admit.h
@@ -12,7 +12,7 @@
 class Admit {
   public:
     Admit(Floor& floor, Route& route, Book& book) : floor_(floor), route_(route), book_(book) {}
-    void admit(Id id, const Arrival& arrival, std::string_view holder);
+    void admit(Id id, Arrival arrival, std::string_view holder);
     // Tunnels that fit the descriptors granted: two each, beside what the node needs for itself.
     std::size_t room() const;
 
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 
 #include "account/costs.h"
 #include "account/outcomes.h"
@@ -93,7 +94,10 @@
     IdIndex names;
     account::Outcomes outcomes;
     Tally tally;
-    bool ready = false;         // what PING is told
+    bool ready = false;  // what PING is told
+    // A node that empties: final answers are due by then, and moved tunnels are over.
+    static constexpr Tenths no_end = std::numeric_limits<Tenths>::max() / 4;
+    Tenths answer_by = no_end, over_by = no_end;
     std::size_t elsewhere = 0;  // descriptors that another process of this node holds
     std::size_t for_other = 0;  // left to one that may come, or for what it takes before it can say so
     std::size_t in_hand = 0;    // tunnels that are not free
--- a/src/tunnel/relay.cpp
+++ b/src/tunnel/relay.cpp
@@ -224,7 +224,7 @@
     if (t.state == State::moving &&
         !t.moves_on) {  // the host's side is stuck in a line: the client goes first
         t.moves_on = true;
-        floor_.set_due(id, t, floor_.loop.now() + longest_ending);
+        floor_.set_due(id, t, floor_.loop.now() + patience());
         return settle(id);
     }
     const bool ending = t.down.ended || t.up.ended;
@@ -236,12 +236,18 @@
     book_.drop(id);
 }
 
+// How long a move waits for one side's line to end: there are two such waits, and a node that empties has no
+// time for longer ones.
+Tenths Relay::patience() const {
+    return std::clamp<Tenths>((floor_.over_by - floor_.loop.now()) / 2, 0, longest_ending);
+}
+
 void Relay::move(Id id) {
     Tunnel& t = *floor_.find(id);
     if (t.state != State::relaying || t.down.ended || t.up.ended) return;
     if (t.ending == Ending::broken && !t.moves_on) t.ending = Ending::called_off;
     floor_.go(id, State::moving);
-    floor_.set_due(id, t, floor_.loop.now() + longest_ending);
+    floor_.set_due(id, t, floor_.loop.now() + patience());
     settle(id);
 }
 
--- a/src/tunnel/relay.h
+++ b/src/tunnel/relay.h
@@ -31,6 +31,7 @@
     void client_bytes(Tunnel& t, std::string_view bytes);
     void answered(Id id, Tunnel& t);
     void settle(Id id);
+    Tenths patience() const;
     void broken(Id id, Side side);
     void tell_slow(Id id, std::uint32_t place, Tenths takes);
 
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -164,6 +164,22 @@
                         false);
 }
 
+// Guards against a process that is killed, when its time to leave is up, with a setup still out.
+void Send::answer_by(Tenths when) {
+    floor_.answer_by = when;
+    floor_.mind().answer_by(when);
+    for (std::uint32_t at = 0; at < floor_.tunnels.places(); ++at) {
+        if (!floor_.tunnels.used(at)) continue;
+        Tunnel& t = floor_.tunnels[at];
+        const bool waits = t.state == State::deciding || t.state == State::connecting ||
+                           t.state == State::sending_line || t.state == State::awaiting_answer;
+        if (!waits || t.give_up_at <= when) continue;
+        t.give_up_at = when;
+        t.setup_until = std::min(t.setup_until, when);
+        if (t.due > when) floor_.set_due(floor_.id_of(at), t, when);
+    }
+}
+
 void Send::tunnel_due(Id id) {
     Tunnel& t = *floor_.find(id);
     if (floor_.loop.now() < t.due) return;
--- a/src/tunnel/send.h
+++ b/src/tunnel/send.h
@@ -16,6 +16,8 @@
     void start(Id id, std::uint32_t place, Tenths longest_wait);
     // A tunnel that is open at its host already goes there until it is up.
     void resume_standing(Id id);
+    // Whoever waits has its final answer by then, and whoever comes.
+    void answer_by(Tenths when);
     void tunnel_ready(Id id, Side side, short events);
     void tunnel_due(Id id);
 
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -67,6 +67,20 @@
     }
 }
 
+// Guards against an exit in the instant in which a client's line is in its socket, or in the listener's
+// queue.
+bool TakeIn::owes() {
+    if (open_) ready(0, POLLIN);
+    if (floor_.admitted + floor_.departing > 0) return true;
+    for (std::uint32_t at = 0; at < floor_.tunnels.places(); ++at) {
+        if (!floor_.tunnels.used(at) || floor_.tunnels[at].state != State::taking_in) continue;
+        const Tunnel& t = floor_.tunnels[at];
+        std::array<char, 1> next{};
+        if ((t.opening.held() && !t.opening.empty()) || t.client.peek(next).bytes > 0) return true;
+    }
+    return false;
+}
+
 // Guards against spinning on a client that cannot be accepted: it waits in the listener's queue for a moment.
 void TakeIn::rest() {
     if (resting_) return;
@@ -126,6 +140,7 @@
         floor_.log.debug() << "a client's first line cannot be taken";
         return book_.turn_away(id), false;
     }
+    if (has_left(t)) return book_.drop(id), false;
     t.profile = arrival.profile;
     t.classed = true;
     if (t.at_door && !floor_.comes_in(t)) {
@@ -138,6 +153,15 @@
     return false;
 }
 
+// Guards against work for a client that left while its line waited to be read, as in the queue of a process
+// that was stopped or is new. An end behind further bytes is heard of in the next pass, before any host is
+// sent the line.
+bool TakeIn::has_left(const Tunnel& t) {
+    std::array<char, 1> next{};
+    const auto there = t.client.peek(next);
+    return there.ended || there.error != 0;
+}
+
 // What the system does not take at once waits, and nothing is read until it is out. False where the client is
 // gone.
 bool TakeIn::say(Tunnel& t, std::string_view text) {
@@ -160,9 +184,7 @@
     const std::uint32_t at = floor_.names.find(t.name);
     if (at == IdIndex::none) return true;
     if (!mid_flow || at == Floor::spent) return mid_flow;
-    std::array<char, 1> next{};
-    const auto there = floor_.tunnels[at].client.peek(next);
-    return there.ended || there.error != 0;
+    return has_left(floor_.tunnels[at]);
 }
 
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/take_in.h
+++ b/src/tunnel/take_in.h
@@ -17,6 +17,8 @@
     void listen_on(int inherited) { listen_on(floor_.loop.system().inherited_listener(inherited)); }
     // Whether clients are accepted; they wait in the listener's queue else, for this process or another.
     void open(bool yes);
+    // Whether a client is here, or at the door, that has begun to speak.
+    bool owes();
     void ready(std::uint64_t token, short events) override;
     void due(std::uint64_t token) override;
     // The connection of a client that has not sent its first line yet.
@@ -28,6 +30,7 @@
     void wait();
     void rest();
     bool take_name(Tunnel& t, std::string_view id, bool mid_flow);
+    static bool has_left(const Tunnel& t);
     bool line(Id id, std::string_view text);
     bool say(Tunnel& t, std::string_view text);
     Floor& floor_;
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -201,8 +201,17 @@
 // Several nodes take turns in one thread: none keeps the others waiting for long.
 struct Shared final : net::Kernel {
     bool shared = false;
+    std::function<void()> after_poll;  // once: what it does is behind the back of the pass
+    std::size_t cut_lines_at = 0;      // of an OPEN line the system takes so many bytes at first
     int poll(std::span<pollfd> set, Tenths longest) override {
-        return Kernel::poll(set, shared ? std::min<Tenths>(longest, 10) : longest);
+        const int n = Kernel::poll(set, shared ? std::min<Tenths>(longest, 10) : longest);
+        if (after_poll) std::exchange(after_poll, nullptr)();
+        return n;
+    }
+    net::Transfer write_some(int fd, std::string_view text) override {
+        if (cut_lines_at > 0 && text.substr(0, 5) == "OPEN ")
+            text = text.substr(0, std::exchange(cut_lines_at, 0));
+        return Kernel::write_some(fd, text);
     }
 };
 
@@ -213,7 +222,8 @@
         bool probing = false;
         int log = -1;
         bool operators = false;
-        bool inherits = false;  // the platform holds the clients' listener
+        bool inherits = false;      // the platform holds the clients' listener
+        std::string timeout = "3";  // of clients, in s
     };
     Door a, b, discovery;
     std::string name = Door().name(), desk = Door().name();
@@ -239,8 +249,8 @@
                R"("},"limits":{"max_setups":3,"connect_timeout":0.25,"probing":)" +
                (t.probing ? "true" : "false") +
                R"(},"report":{"via":"probe","columns":["x0"]},"rules":{"stop_sending_within":3},)" +
-               R"("profiles":[{"name":"chat","setup_goal":0.3,"client_timeout":3,"credit":1,)" +
-               R"("effect":"read_like","stream":true}]}})";
+               R"("profiles":[{"name":"chat","setup_goal":0.3,"client_timeout":)" + t.timeout +
+               R"(,"credit":1,)" + R"("effect":"read_like","stream":true}]}})";
         file.parse(text);
         if (t.inherits) {
             listener = net::listen_on(*net::parse_address(name));
--- a/tests/spoilt.h
+++ b/tests/spoilt.h
@@ -198,6 +198,7 @@
         real_->ended(tun, setup, own(tun, ep), ending, took, settled);
     }
     void client_left(std::uint64_t tun) override { real_->client_left(tun); }
+    void answer_by(Tenths when) override { real_->answer_by(when); }
     void load_changed(std::uint64_t tun, double load) override { real_->load_changed(tun, load); }
     void messages_slow(std::uint64_t tun, std::uint32_t ep, Tenths takes) override {
         real_->messages_slow(tun, own(tun, ep), takes);
