Nodes that may not talk probe every host themselves and guess no load that they know

Lines at fault: send_probes() left all but some eight hosts to their reporters, who can tell nobody; Loads::asked took the load of the others as 0. Change: where nodes may not talk each probes all, as often as prices pay for it if all do; a host without a report of the last 10 s is taken as half full.

Story: with the mend taken out 'CHECK( *min_element(..) >= 2 ) values: CHECK( 1 >= 2 )'.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -941,7 +941,7 @@
         if (e.carried == 0 || now - e.moved_at < second / 2 || !gate_was_open || setting_up > 4) return;
         const double x = load_of(e, asked(e) - e.pending);
         const bool seen = sums_known || e.x_at > e.moved_at + report_lag;  // what was moved last
-        if (!dead && (blind() || x < move_from || x < 1.2 * fleet_load || !seen)) return;
+        if (!dead && (blind(e) || x < move_from || x < 1.2 * fleet_load || !seen)) return;
         e.moved_at = now;
         double left = dead ? e.mine / 2 : (x - move_from) / x * e.mine;
         while (left > 0 && moves_left >= 1) {
@@ -1038,15 +1038,16 @@
             borrow_for(at);
     }
     void send_probes() {
-        const double probes = static_cast<double>(eps.size()) * (sums_known ? nodes() : 1);
+        const double probes = static_cast<double>(eps.size()) * (sums_known || !talks() ? nodes() : 1);
         const Tenths pause = paced(probe_every, terms.prices.probe * probes, 8);
         for (auto& e : eps) {
             if (e.life != Life::in_service || e.probing) continue;
             // Without sums an ep's reporter probes for all; the others only where they hear nothing of it.
-            const bool mine = sums_known || e.rank != not_reporting;
-            const Tenths wait = e.silent             ? probe_every
-                                : sums_known || mine ? pause * (sums_known ? 1 : 1 + 4 * e.rank)
-                                                     : 8 * tell_pause;
+            const bool alone = sums_known || !talks();  // no reporter tells of it
+            const bool mine = alone || e.rank != not_reporting;
+            const Tenths wait = e.silent ? probe_every
+                                : mine   ? pause * (alone ? 1 : 1 + 4 * e.rank)
+                                         : 8 * tell_pause;
             if (now - std::max(e.probed_at, mine ? -never : e.x_at) < wait) continue;
             look(e);
         }
--- a/src/balance/loads.h
+++ b/src/balance/loads.h
@@ -10,6 +10,7 @@
 constexpr Tenths report_every = second;
 constexpr double group_copy = 3;     // of a group, in mean connections: not told, a guess
 constexpr double first_load = 0.05;  // a connection's load before any is known, in cores
+constexpr Tenths report_old = 10 * second;
 constexpr double blind_load = 0.5, shed_load = 1.1, shed_lasts = 15;  // loads; s
 constexpr double most_piled = 2;                                      // seconds of work
 
@@ -21,15 +22,17 @@
     double room(const Ep& e) const {
         return std::max(0.01, (sums_known && e.room > 0 ? e.room : e.size * room_a_size) * warmth(e));
     }
-    // Nothing tells what eps carry: neither other nodes nor reports. An ep is then taken to be half full, and
-    // one that has cut a tunnel off lately to be past what it can do.
-    bool blind() const { return !sums_known && !talks() && !terms.limits.probing; }
+    // Nothing tells what an ep carries: neither other nodes nor a report to this one. It is then taken to be
+    // half full, and past what it can do if it has cut a tunnel off lately.
+    bool blind(const Ep& e) const {
+        return !sums_known && !talks() && (std::isnan(e.x) || now - e.x_at > report_old);
+    }
     double guessed(const Ep& e) const {
         const auto since = static_cast<double>(now - e.cut_at) / second;
         return std::max(blind_load, shed_load * (1 - since / shed_lasts));
     }
     double asked(const Ep& e) const {  // of an ep, by all nodes
-        if (blind()) return e.pending + guessed(e) * room(e);
+        if (blind(e)) return e.pending + guessed(e) * room(e);
         if (!sums_known) return e.pending + (e.x > 0 ? e.x * room(e) : 0);
         const double copies = terms.groups ? group_copy * records.groups().groups_on(e.id) : 0;
         return e.mine + e.pending + e.elsewhere + copies * mean_load();
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -986,3 +986,20 @@
     }
     CHECK(std::count_if(used.begin(), used.end(), [](int x) { return x > 0; }) >= 4);
 }
+
+TEST_CASE("nodes that may not talk probe all eps themselves: no reporter could tell them") {
+    auto terms = mute(0);
+    terms.limits.probing = true;
+    Node n(terms);
+    std::vector<std::uint32_t> eps(16);
+    for (std::uint32_t i = 0; i < 16; ++i) eps[i] = i + 1;
+    n.list(eps);
+    std::vector<int> probed(17);
+    for (int i = 0; i < 60; ++i) {
+        n.pass(100 * ms);
+        for (const auto p : n.probes) ++probed[p];
+        n.answer_probes(0.5);
+    }
+    CHECK(std::count(probed.begin() + 1, probed.end(), 0) == 0);
+    CHECK(*std::min_element(probed.begin() + 1, probed.end()) >= 2);
+}
