--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -48,12 +48,17 @@
     return all;
 }
 
-// A town whose next client has a slot of the loop behind that of its host's connection, or before it.
-void order_slots(Town& town, End& first, bool host_first) {
-    first = town.client();
+// A client whose slot in the loop stands behind that of its host's connection to come, or before it.
+End client_in_slot(Town& town, bool host_first) {
+    End before = town.client();
     town.pass(20);
-    if (!host_first) first = {};
+    if (!host_first) before = {};
     town.pass(20);
+    End c = town.client();
+    town.pass(20);
+    before = {};  // and its slot is the next one's
+    town.pass(20);
+    return c;
 }
 
 }  // namespace
@@ -63,12 +68,7 @@
     for (const bool host_first : {false, true})
         for (const Leaves how : {Leaves::ends, Leaves::resets, Leaves::ends_behind_bytes}) {
             Town town;
-            End before;
-            order_slots(town, before, host_first);
-            End c = town.client();
-            town.pass(20);
-            before = {};  // and its slot is the next one's
-            town.pass(20);
+            End c = client_in_slot(town, host_first);
             c.say(town.line());
             std::vector<End> ends;
             REQUIRE(town.until([&] {  // the connection has been asked for: the node is connecting
@@ -88,12 +88,7 @@
     for (const bool host_first : {false, true})
         for (const Leaves how : {Leaves::ends, Leaves::resets, Leaves::ends_behind_bytes}) {
             Town town;
-            End before;
-            order_slots(town, before, host_first);
-            End c = town.client();
-            town.pass(20);
-            before = {};
-            town.pass(20);
+            End c = client_in_slot(town, host_first);
             c.say(town.line());
             leave(c, how);
             hold_back(350);  // the process was stopped, or had much to do
@@ -108,12 +103,7 @@
     for (const bool host_first : {false, true})
         for (const Leaves how : {Leaves::ends, Leaves::resets, Leaves::ends_behind_bytes}) {
             Town town;
-            End before;
-            order_slots(town, before, host_first);
-            End c = town.client();
-            town.pass(20);
-            before = {};
-            town.pass(20);
+            End c = client_in_slot(town, host_first);
             c.say(town.line());
             const Door* at = nullptr;
             End h = town.setup(&at);
