A new process asks for the list at once; every wait for discovery shares one bound of 6 s

Changes of the list were logged: hosts were gone at 8.58 s, so told at 14.58 s at the latest; the nodes that sent there had restarted at 12.15 s and heard their first list at 12.9 to 19.7 s.

Cause: Mind::list_spread spread the first call of a new process over up to 7.5 s; and read from the code beside it: after a failure 5 s of patience and a pause of up to 5 s (asking) or 7.5 s (pushed) passed the 6 s after which a change counts as told.

Change: src/backoff holds patience, pauses and the bound that they share (static_assert), for watching and for asking: capped exponential backoff with jitter, 1.5 s at most; a first call within 1.5 s. Node::watch_lost and the module use it. Debug lines tell each tunnel's line, setups and hosts' phases.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -41,7 +41,7 @@
 
 struct Mind final : Balancer, peer::Listener, Talk {
     Mind(Terms given, Host& to, Tenths at) : Talk(std::move(given), to, at) {
-        ask_list_at = now + draw_span(list_spread());
+        ask_list_at = now + draw_span(backoff::first_call_within(peers.size()));
         last_report = now - draw_span(report_every);
         for (double x = 0; x <= most_load; x += 1 / harm_steps)
             harms.push_back((1 + late_slope * x) * std::exp(-late_slope * (1 - x)));
@@ -92,13 +92,9 @@
     void list_end() override {
         if (list_kind == ListKind::failed || list_kind == ListKind::elsewhere) {
             watching = false;  // what the old place failed is not held against the new one
-            list_failures = list_kind == ListKind::failed ? list_failures + 1 : 0;
-            const Tenths longest = std::max(second, std::min(terms.rules.ask_within, 10 * second) / 3);
-            const Tenths first = std::max(second / 4, list_spread() / 2);
-            const Tenths pause =
-                list_failures == 0 ? 0 : std::min(longest, first << std::min(list_failures, 6));
-            ask_list_at = now + pause / 2 + draw_span(pause);
-            say("list lost, failures %d", list_failures);
+            if (list_kind == ListKind::elsewhere) list_calls.answered();
+            ask_list_at = now + (list_kind == ListKind::failed ? list_calls.failed(draw()) : 0);
+            say("list lost, failures %d", list_calls.failures());
             return keep_list();
         }
         if (list_kind == ListKind::whole || list_kind == ListKind::remembered)
@@ -106,8 +102,8 @@
                 if (!e.in_list) set_life(e, Life::gone);
         find_reporters();
         if (list_kind == ListKind::remembered) return open_account();
-        if (list_failures > 0) say("list back after %d failures", list_failures);
-        list_failures = 0;
+        if (list_calls.failures() > 0) say("list back after %d failures", list_calls.failures());
+        list_calls.answered();
         watching = true;
     }
     // Before any traffic is seen, an ep is taken to get a tunnel in three seconds.
@@ -118,12 +114,6 @@
             for (auto& p : peers) p.summed = now;
         weigh_fleet();
     }
-    // The list serves the calls of all nodes in turn, each for some 50 ms, and fails those that wait long:
-    // the first calls are spread by the number of nodes, within the time that the rule leaves.
-    Tenths list_spread() const {
-        const Tenths longest = terms.rules.ask_within > 0 ? terms.rules.ask_within * 3 / 4 : 10 * second;
-        return std::min(longest, static_cast<Tenths>(peers.size()) * second / 20);
-    }
     void keep_list() {
         if (!terms.must_ask || watching || now < ask_list_at) return;
         ask_list_at = now + std::max(second, terms.rules.ask_within / 2);
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "backoff/backoff.h"
 #include "balance/balance.h"
 #include "balance/id_index.h"
 #include "balance/outbox.h"
@@ -288,7 +289,8 @@
     double room_a_size = 2.5, fleet_load = 0, ends_a_second = 0, carried_time = 0;
     std::uint64_t ends_in_all = 0;
     std::uint32_t from = 0, ends = 0, reports = 0, sweeps = 0;
-    int setting_up = 0, list_failures = 0;
+    int setting_up = 0;
+    backoff::Backoff list_calls;
     bool ring_changed = true, greeted = false;
     bool gate_was_open = true, watching = false, too_dear = false;
     bool sums_known = false;  // each living node's load on each ep is known here
--- a/src/discovery/hosts.cpp
+++ b/src/discovery/hosts.cpp
@@ -106,6 +106,9 @@
         log_.info() << "host " << id << " at " << m.text("host_port") << " is ep " << ep;
     }
     if (at) hosts_[place].at = *at;
+    if (hosts_[place].life != life || hosts_[place].started_ms != started)
+        log_.debug() << "host " << id << ", ep " << hosts_[place].ep << ", told " << phase << ", up since "
+                     << started;
     hosts_[place].life = life;
     hosts_[place].started_ms = started;
     hosts_[place].zone = m.text("locality", "");
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -4,13 +4,13 @@
 
 #include <array>
 
+#include "backoff/backoff.h"
+
 namespace lemonstair::discovery {
 
 namespace {
 
-// Discovery takes calls in turn, so the first answer may be late; once a watch stands, a sign comes every 2
-// s.
-constexpr net::Tenths patience_connecting = 10000, patience_asking = 50000, patience_standing = 50000;
+using backoff::patience_asking, backoff::patience_connecting, backoff::patience_standing;
 constexpr int reads_a_pass = 64;
 
 }  // namespace
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr Tenths look_over_every = 2500, tally_every = 100000, costs_every = 10000;
-constexpr Tenths first_pause = 2500, longest_pause = 50000;
 
 enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer, costs_timer, empty_timer };
 
@@ -225,7 +224,7 @@
 
 bool Node::list_heard(const json::Value& list) {
     const bool taken = hosts_.take(list, stages_.floor.mind(), false);
-    if (taken) failed_calls_ = 0;
+    if (taken) backoff_.answered();
     return taken;
 }
 
@@ -237,7 +236,7 @@
 
 void Node::nothing_new() {
     tell_list(ListKind::changes);
-    failed_calls_ = 0;
+    backoff_.answered();
 }
 
 // Where the node must ask, the module says when to ask again; else the watch comes back by itself, later
@@ -245,9 +244,9 @@
 void Node::watch_lost() {
     tell_list(ListKind::failed);
     if (launch_.terms.must_ask) return;
-    const Tenths pause = std::min(longest_pause, first_pause << std::min(failed_calls_++, 5));
-    loop_.at(loop_.now() + pause / 2 + static_cast<Tenths>(rng_() % static_cast<std::uint32_t>(pause)), *this,
-             list_timer);
+    const double drawn = static_cast<double>(rng_() - std::minstd_rand::min());
+    const double chance = drawn / static_cast<double>(std::minstd_rand::max());
+    loop_.at(loop_.now() + backoff_.failed(chance), *this, list_timer);
 }
 
 void Node::probed(std::uint32_t ep, Ending ending, Tenths took, const Report& report) {
@@ -292,7 +291,7 @@
                 << stages_.admit.room();
     if (moved) hosts_.forget_revision();
     if (watch_.is_open()) return;
-    failed_calls_ = 0;
+    backoff_.answered();
     tell_list(ListKind::elsewhere);
     if (!launch_.terms.must_ask) watch_.open(hosts_.revision());
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "account/costs.h"
+#include "backoff/backoff.h"
 #include "balance/balance.h"
 #include "config/launch.h"
 #include "discovery/hosts.h"
@@ -110,7 +111,7 @@
     Phase phase_ = Phase::starting;
     Departure departure_ = Departure::on_drain();
     Tenths emptying_since_ = 0, empty_at_ = 0;  // drained or leaving; when it is looked after next
-    int failed_calls_ = 0;
+    backoff::Backoff backoff_;  // of the watch, where it comes back by itself
     bool renew_at_begin_ = false;
 };
 
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -53,6 +53,8 @@
 void Send::connect(Id id) {
     Tunnel& t = *floor_.find(id);
     ++floor_.costs.setups;
+    floor_.log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << " setup " << t.setups << " at ep "
+                       << floor_.hosts[t.place].ep;
     floor_.go(id, State::connecting);
     if (floor_.down_to(descriptors_left) && !book_.make_room()) return failed(id, Ending::not_sent);
     net::Fd fd = floor_.loop.system().connect_to(floor_.hosts[t.place].at);
@@ -154,6 +156,8 @@
 void Send::failed(Id id, Ending ending) {
     Tunnel& t = *floor_.find(id);
     floor_.costs.setup_ended(ending);
+    floor_.log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << " setup " << t.setups
+                       << " failed, ending " << static_cast<int>(ending);
     t.host.close();
     t.up.waiting.give_back();
     t.down.waiting.give_back();
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -140,6 +140,7 @@
         floor_.log.debug() << "a client's first line cannot be taken";
         return book_.turn_away(id), false;
     }
+    floor_.log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << " taken: " << text;
     if (has_left(t)) return book_.drop(id), false;
     t.profile = arrival.profile;
     t.classed = true;
