Where nothing tells of load, a group has four homes and cold servers are used

At second 4, before any host was replaced, 2,464 tunnels stood on 1,993 copies of 418 groups: the fleet paid for nearly one copy a tunnel. At second 10 hosts that had started 3 to 5 s before held 2 tunnels each. Ruled out: errors, refusals, time-outs (under 2% of setups before second 14), processor time, list calls.

Cause, three lines: home_limit() is 0.325 in a node's first 5 s and what is guessed of a blind server 0.5, so no server ever was a home then (each restart begins another 5 s); one home for a group of 200 is cut down by its host, and each of 279 nodes finds that out alone; guessed() took a server that has just started to be half full, so it cost as much as a warm one and a copy.

Change: four homes, the first in the group's order, the same at all nodes; has_room against home_full where the load is a guess; a cold server is taken to fill over its warm-up. A node's own tunnels of a group and its pending ones are left out of the guess: with them half of the mid-flow tunnels of the story were sought elsewhere.

Tests: two stories; on the code before the first fails 107 and more checks ('CHECK( 10 <= 4 )'), the second sends cold servers nothing.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -29,6 +29,7 @@
 
 constexpr double weight_floor = 1e-9;       // no weight and no total reaches zero
 constexpr Tenths handover = 5 * second;     // what was open before a start comes in by then
+constexpr int blind_homes = 4;              // of a group, where nothing tells of their room
 constexpr double home_full = 0.65;          // load from which a group is given another home
 constexpr Tenths home_lasts = 60 * second;  // after its keeper's last word
 constexpr double cold_part = 0.8;           // of a cold ep's budget: what is known of it is reckoned
@@ -351,37 +352,51 @@
     // hears of all its tunnels and tells all its homes, one more when those have no room left. Where no home
     // has room, its tunnels meet on the first ep that has, in an order that is the group's own and the same
     // at all nodes. Guards against a copy of each group on each ep.
-    std::uint32_t first_with_room(std::uint32_t group, double limit, const Tun* t,
-                                  std::uint32_t zone = none) {
+    template <class Fits>
+    std::uint32_t first_in_order(std::uint32_t group, bool apart, Fits&& fits) const {
         std::uint32_t best = none;
         std::uint64_t least = 0;
         for (std::uint32_t i = 0; i < eps.size(); ++i) {
             // Rather not where another group is just coming.
-            const std::uint64_t taken = t == nullptr && now - eps[i].home_at < report_lag ? 1 : 0;
+            const std::uint64_t taken = apart && now - eps[i].home_at < report_lag ? 1 : 0;
             const std::uint64_t place = taken << 63 | mix(std::uint64_t{group} << 32 | ids[i]) >> 1;
             if (best != none && place >= least) continue;  // most eps need no closer look
-            const Ep& e = eps[i];
-            if (!has_room(e, limit) || (zone != none && e.zone != zone)) continue;
-            if (t != nullptr && !cold_allows(i)) continue;
-            if (t != nullptr && std::find(t->tried.begin(), t->tried.end(), i) != t->tried.end()) continue;
+            if (!fits(i)) continue;
             best = i;
             least = place;
         }
         return best;
     }
+    std::uint32_t new_home(std::uint32_t group, double limit, std::uint32_t zone = none) const {
+        return first_in_order(group, true, [&](std::uint32_t i) {
+            return has_room(eps[i], limit) && (zone == none || eps[i].zone == zone);
+        });
+    }
+    std::uint32_t meeting_place(const Tun& t) const {
+        return first_in_order(t.group, false, [&](std::uint32_t i) {
+            const bool tried = std::find(t.tried.begin(), t.tried.end(), i) != t.tried.end();
+            return held_at[i] == 0 && !tried && home_room(eps[i]) && cold_allows(i);
+        });
+    }
     bool is_home(const GroupTable::Place& p) const { return p.home_at >= 0 && now - p.home_at < home_lasts; }
     void mark_held(const Tun& t) {
         held_at.assign(eps.size(), 0);
         bool room_left = false;
         for (const auto& p : records.groups().of(t.group)) {
             const std::uint32_t at = ep_index.find(p.ep);
-            if (at == none || (p.members == 0 && !is_home(p))) continue;
+            // What a node alone has of the group is known to no other that a tunnel may come to mid-flow.
+            if (at == none || blind(eps[at]) || (p.members == 0 && !is_home(p))) continue;
             held_at[at] = 1;
-            room_left = room_left || (cold_allows(at) && has_room(eps[at], home_limit()));
+            room_left = room_left || (cold_allows(at) && home_room(eps[at]));
         }
         if (sums_known || t.group == 0 || room_left) return;
-        const std::uint32_t at = first_with_room(t.group, home_limit(), &t);
-        if (at != none) held_at[at] = 1;
+        // Where nothing tells that a home is full, a group has several from the start, the same at all nodes.
+        for (int i = 0; i < blind_homes; ++i) {
+            const std::uint32_t at = meeting_place(t);
+            if (at == none) return;
+            held_at[at] = 1;
+            if (!blind(eps[at])) return;
+        }
     }
     void home(std::uint32_t group, std::uint32_t ep) override {
         if (ep_of(ep) == nullptr || group == 0) return;
@@ -403,12 +418,14 @@
     double home_limit() const {  // less while what was open before a start comes in before reports
         return std::max(now - born < handover ? home_full / 2 : home_full, fleet_load + 0.1);
     }
+    // What is guessed does not grow while such tunnels come in.
+    bool home_room(const Ep& e) const { return has_room(e, blind(e) ? home_full : home_limit()); }
     std::uint32_t keeper(std::uint32_t group) const { return first_living(mix(group)); }
     void keep_homes(std::uint32_t group) {
         if (sums_known || keeper(group) != terms.me) return;
         for (const auto& p : records.groups().of(group))
             if (is_home(p) && ep_of(p.ep) != nullptr && has_room(*ep_of(p.ep), home_limit())) return;
-        open_home(group, first_with_room(group, std::clamp(fleet_load, home_full / 2, home_full), nullptr));
+        open_home(group, new_home(group, std::clamp(fleet_load, home_full / 2, home_full)));
     }
     // Crossings of zones for a group are paid for as long as they cost less than a copy.
     void crossed(std::uint32_t group, std::uint32_t zone) override {
@@ -417,7 +434,7 @@
         crossings.put(id, n);
         if (n * terms.prices.cross_zone < harm(copy_load(), group_copy)) return;
         crossings.put(id, 0);
-        open_home(group, first_with_room(group, home_limit(), nullptr, zone));
+        open_home(group, new_home(group, home_limit(), zone));
     }
     void open_home(std::uint32_t group, std::uint32_t at) {
         if (at == none) return;
--- a/src/balance/loads.h
+++ b/src/balance/loads.h
@@ -29,10 +29,14 @@
     }
     double guessed(const Ep& e) const {
         const auto since = static_cast<double>(now - e.cut_at) / second;
-        return std::max(blind_load, shed_load * (1 - since / shed_lasts));
+        return std::max(blind_load * filled(e), shed_load * (1 - since / shed_lasts));
+    }
+    // One that has just started is empty, and may take so little that it fills over its warm-up.
+    double filled(const Ep& e) const {
+        return cold(e) ? static_cast<double>(now - e.started) / static_cast<double>(terms.rules.cold) : 1;
     }
     double asked(const Ep& e) const {  // of an ep, by all nodes
-        if (blind(e)) return e.pending + guessed(e) * room(e);
+        if (blind(e)) return guessed(e) * room(e);  // its own few tunnels would set a node apart from the others
         if (!sums_known) return e.pending + (e.x > 0 ? e.x * room(e) : 0);
         const double copies = terms.groups ? group_copy * records.groups().groups_on(e.id) : 0;
         return e.mine + e.pending + e.elsewhere + copies * mean_load();
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -917,6 +917,12 @@
     return terms;
 }
 
+Terms mute_groups(std::uint32_t me) {
+    auto terms = mute(me);
+    terms.groups = true;
+    return terms;
+}
+
 }  // namespace
 
 TEST_CASE("nodes that may not talk find the ep of a tunnel mid-flow by its key") {
@@ -953,6 +959,58 @@
     CHECK(far < 100);  // but the node's own zone goes first
 }
 
+TEST_CASE("where nothing tells of load, a group's tunnels meet on a few eps from the first second") {
+    std::array<Node, 3> nodes{Node(mute_groups(0)), Node(mute_groups(1)), Node(mute_groups(2))};
+    std::vector<std::uint32_t> eps(40);
+    for (std::uint32_t i = 0; i < 40; ++i) eps[i] = 1001 + 17 * i;
+    for (auto& n : nodes) n.list(eps);
+    std::vector<std::vector<std::uint32_t>> used(5);
+    for (std::uint64_t t = 1; t <= 200; ++t) {
+        Node& n = nodes[t % 3];
+        for (auto& each : nodes) each.pass(20 * ms);
+        const std::string key = key_of(t), group = "g" + std::to_string(t % 5);
+        n.b->arrive(t, {.key = key, .group = group, .give_up_at = n.now + 3 * s});
+        REQUIRE(n.setups_of(t) == 1);
+        used[t % 5].push_back(n.last().ep);
+        n.open(t);
+        // Another node finds it by its key and its group.
+        Node& other = nodes[(t + 1) % 3];
+        other.b->arrive(1000 + t, {.key = key, .group = group, .give_up_at = n.now + 3 * s, .mid_flow = true});
+        CHECK(other.last().ep == n.last().ep);
+        other.open(1000 + t);
+        other.end(1000 + t, Ending::ok, true);
+    }
+    for (auto& at : used) {
+        std::sort(at.begin(), at.end());
+        at.erase(std::unique(at.begin(), at.end()), at.end());
+        CHECK(at.size() <= 4);
+        CHECK(at.size() >= 3);  // a big group is not for one
+    }
+}
+
+TEST_CASE("where nothing tells of load, what cold eps may be sent is used, and they are not passed over") {
+    auto terms = mute_groups(0);
+    terms.rules.cold = 20 * s;
+    terms.rules.cold_from = 0.2;
+    Node n(terms);
+    n.list({1, 2, 3, 4, 5, 6, 7, 8});
+    n.pass(30 * s);
+    n.b->list_begin(ListKind::changes);
+    for (std::uint32_t i = 11; i <= 18; ++i) n.b->listed(i, 0, 0, Life::in_service, 1, n.now);
+    n.b->list_end();
+    int cold_ones = 0;
+    for (std::uint64_t t = 1; t <= 300; ++t) {
+        n.pass(50 * ms);
+        const std::string key = key_of(t), group = "g" + std::to_string(t % 40);
+        n.b->arrive(t, {.key = key, .group = group, .give_up_at = n.now + 3 * s});
+        REQUIRE(n.setups_of(t) == 1);
+        cold_ones += n.last().ep > 10 ? 1 : 0;
+        n.open(t);
+    }
+    CHECK(cold_ones >= 60);  // the budget of eight, dealt to three nodes, is some 120
+    CHECK(cold_ones < 200);
+}
+
 TEST_CASE("where nothing tells of load, an ep that cuts a tunnel off gets no other for a while") {
     Node n(mute(0));
     n.list({1, 2, 3, 4});
