What a client names is no group where the settings have none

Cause: Mind::admit took any g for a group, whatever 'groups' of the settings says ('g: the client, or the group that it belongs to, as the settings say'). So all tunnels were one group; hidden so far by many homes being full. Change: a group only where the settings have groups.

Test: a story that fails before (8 of 12 hosts never used).

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -728,7 +728,7 @@
         t.mid_flow = a.mid_flow;
         t.again = a.again;
         if (t.keyed) t.key = hash_text(a.key);
-        if (!a.group.empty()) t.group = static_cast<std::uint32_t>(hash_text(a.group) | 1);
+        if (terms.groups && !a.group.empty()) t.group = static_cast<std::uint32_t>(hash_text(a.group) | 1);
         const Record* r = t.keyed ? records.find(t.key) : nullptr;
         t.load = a.load > 0                          ? a.load
                  : profile_load[t.profile].count > 0 ? profile_load[t.profile].value
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -1046,6 +1046,21 @@
     CHECK(std::count_if(used.begin(), used.end(), [](int x) { return x > 0; }) >= 4);
 }
 
+TEST_CASE("what a client names is no group where the settings have none") {
+    auto terms = mute(0);
+    Node n(terms);
+    n.list({1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12});
+    std::vector<int> used(13);
+    for (std::uint64_t t = 1; t <= 200; ++t) {
+        n.pass(50 * ms);
+        const std::string key = key_of(t);
+        n.b->arrive(t, {.key = key, .group = "0000000000000000", .give_up_at = n.now + 3 * s});
+        n.open(t);
+        ++used[n.last().ep];
+    }
+    CHECK(std::count(used.begin() + 1, used.end(), 0) == 0);
+}
+
 TEST_CASE("nodes that may not talk probe all eps themselves: no reporter could tell them") {
     auto terms = mute(0);
     terms.limits.probing = true;
