Blind nodes hold back when what opens is soon cut off, and do not crowd a light server

Cut-off soon after is to blind nodes what a failed setup is to the gate. One more home for a group among those cold servers.

Change: a reported server counts as half full at least, is the likelier by what is free; first probes are spread.

Tests: three stories; on the code before 'CHECK( 200 < 60 )', 'CHECK( 87 < 80 )', 'CHECK( 0 >= 20 )'.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -29,6 +29,7 @@
 
 constexpr double weight_floor = 1e-9;       // no weight and no total reaches zero
 constexpr Tenths handover = 5 * second;     // what was open before a start comes in by then
+constexpr Tenths soon_cut = 3 * second;     // as far as the gate looks back
 constexpr int blind_homes = 4;              // of a group, where nothing tells of their room
 constexpr double home_full = 0.65;          // load from which a group is given another home
 constexpr Tenths home_lasts = 60 * second;  // after its keeper's last word
@@ -111,6 +112,9 @@
     void open_account() {
         placed_lately = static_cast<double>(eps.size()) / 3 * 10 / tunnels_a_sample();
         reckon_talk();
+        // Guards against nodes that all read one ep's report at one time, and then crowd the light ones.
+        for (auto& e : eps)
+            if (!talks()) e.probed_at = now - draw_span(probe_pause());
         if (talks() && report_pause < 4 * report_every)
             for (auto& p : peers) p.summed = now;
         weigh_fleet();
@@ -338,7 +342,7 @@
     // The marginal cost of a load of this group on an ep.
     double cost(std::uint32_t at, double load, std::uint32_t group) const {
         const Ep& e = eps[at];
-        const double x = load_now(e);
+        const double x = unheard_of(e) ? std::max(load_now(e), blind_load) : load_now(e);
         double copy = 0;
         if (group != 0 && held_at[at] == 0 && !(cold(e) && fleet_load > 0.6 && !sums_known)) {
             if (sums_known) load += group_copy * mean_load();
@@ -372,10 +376,11 @@
             return has_room(eps[i], limit) && (zone == none || eps[i].zone == zone);
         });
     }
-    std::uint32_t meeting_place(const Tun& t) const {
+    std::uint32_t meeting_place(const Tun& t, bool cold_one) const {
         return first_in_order(t.group, false, [&](std::uint32_t i) {
+            if (held_at[i] != 0 || (cold_one && !cold(eps[i]))) return false;
             const bool tried = std::find(t.tried.begin(), t.tried.end(), i) != t.tried.end();
-            return held_at[i] == 0 && !tried && home_room(eps[i]) && cold_allows(i);
+            return !tried && home_room(eps[i]) && cold_allows(i);
         });
     }
     bool is_home(const GroupTable::Place& p) const { return p.home_at >= 0 && now - p.home_at < home_lasts; }
@@ -390,13 +395,16 @@
             room_left = room_left || (cold_allows(at) && home_room(eps[at]));
         }
         if (sums_known || t.group == 0 || room_left) return;
-        // Where nothing tells that a home is full, a group has several from the start, the same at all nodes.
+        // Where nothing tells that a home is full, a group has several from the start, the same at all nodes;
+        // and one more among the cold eps that this node has a unit for, which are seldom the same.
         for (int i = 0; i < blind_homes; ++i) {
-            const std::uint32_t at = meeting_place(t);
-            if (at == none) return;
+            const std::uint32_t at = meeting_place(t, false);
+            if (at == none) break;
             held_at[at] = 1;
             if (!blind(eps[at])) return;
         }
+        const std::uint32_t at = meeting_place(t, true);
+        if (at != none && blind(eps[at])) held_at[at] = 1;
     }
     void home(std::uint32_t group, std::uint32_t ep) override {
         if (ep_of(ep) == nullptr || group == 0) return;
@@ -418,8 +426,10 @@
     double home_limit() const {  // less while what was open before a start comes in before reports
         return std::max(now - born < handover ? home_full / 2 : home_full, fleet_load + 0.1);
     }
-    // What is guessed does not grow while such tunnels come in.
-    bool home_room(const Ep& e) const { return has_room(e, blind(e) ? home_full : home_limit()); }
+    // A guess that holds for all eps alike leaves a group's order as it is.
+    bool home_room(const Ep& e) const {
+        return blind(e) ? has_room(e, most_load) && shed(e) < home_full : has_room(e, home_limit());
+    }
     std::uint32_t keeper(std::uint32_t group) const { return first_living(mix(group)); }
     void keep_homes(std::uint32_t group) {
         if (sums_known || keeper(group) != terms.me) return;
@@ -612,7 +622,8 @@
             least = std::min(least, price);
             double w = 1 / (price + 1e-3);
             for (int k = 0; k < 3; ++k) w *= w;  // an ep of twice the cost gets a 256th of the weight
-            weights[i] = room(e) * w + weight_floor;
+            const double free = unheard_of(e) ? std::max(1 - load_now(e), 0.05) : 1;
+            weights[i] = room(e) * free * w + weight_floor;
             total += weights[i];
         };
         for (int pass = 0; pass < 2 && total <= 0; ++pass)
@@ -812,7 +823,7 @@
         const std::uint32_t at = tun_index.find(id);
         if (at == none || tuns[at].state != State::setting_up || setup + 1 != tuns[at].setups) return;
         judged(eps[tuns[at].ep], Ending::ok);
-        ++opened_lately, ++ended_lately;
+        ++opened_lately, ++ended_lately, ++stood_lately;
         go(at, State::standing);
     }
     void ended(std::uint64_t id, int setup, std::uint32_t, Ending ending, Tenths, bool settled) override {
@@ -826,7 +837,10 @@
             if (ending == Ending::ok) ++opened_lately;
         }
         if (t.state == State::standing && ending == Ending::ok) ++ends;
-        if (t.state == State::standing && ending == Ending::broken) eps[t.ep].cut_at = now;
+        if (t.state == State::standing && ending == Ending::broken) {
+            eps[t.ep].cut_at = now;
+            if (now - t.sent < soon_cut) ++cut_lately;
+        }
         if (settled || t.state == State::answered) return release(at);
         if (t.state != State::setting_up) return finish(at);
         const Profile& p = terms.profiles[t.profile];
@@ -991,7 +1005,7 @@
         keep_list();
         forget_placed(sums_known ? report_pause : report_lag);
         lately.fade(witness::fades_to);
-        for (double* part : {&opened_lately, &ended_lately}) *part *= gate_decay;
+        for (double* part : {&opened_lately, &ended_lately, &stood_lately, &cut_lately}) *part *= gate_decay;
         placed_lately *= 0.99;
         retry_held();
         const double window = std::clamp(static_cast<double>(now - born) / second, 1.0, 20.0);
@@ -1044,9 +1058,12 @@
         else if (waits_for_unit(t))
             borrow_for(at);
     }
-    void send_probes() {
+    Tenths probe_pause() const {
         const double probes = static_cast<double>(eps.size()) * (sums_known || !talks() ? nodes() : 1);
-        const Tenths pause = paced(probe_every, terms.prices.probe * probes, 8);
+        return paced(probe_every, terms.prices.probe * probes, 8);
+    }
+    void send_probes() {
+        const Tenths pause = probe_pause();
         for (auto& e : eps) {
             if (e.life != Life::in_service || e.probing) continue;
             // Without sums an ep's reporter probes for all; the others only where they hear nothing of it.
--- a/src/balance/loads.h
+++ b/src/balance/loads.h
@@ -23,20 +23,31 @@
         return std::max(0.01, (sums_known && e.room > 0 ? e.room : e.size * room_a_size) * warmth(e));
     }
     // Nothing tells what an ep carries: neither other nodes nor a report to this one. It is then taken to be
-    // half full, and past what it can do if it has cut a tunnel off lately.
+    // half full, the fuller the more of the node's tunnels are cut off soon after they opened, wherever that
+    // was; and past what it can do if it has cut one off lately. Guards against a fleet too small for its
+    // tunnels: each node would find each full ep alone, by tunnels that are cut off and come again.
     bool blind(const Ep& e) const {
         return !sums_known && !talks() && (std::isnan(e.x) || now - e.x_at > report_old);
     }
+    // The ep's report is known, and nothing of what other nodes have placed there since. Guards against all
+    // nodes crowding the ep that its report shows as the lightest: it counts as half full, as the others do that
+    // nothing tells of, and the part that is free only makes it the likelier.
+    bool unheard_of(const Ep& e) const { return !sums_known && !talks() && !blind(e); }
     double guessed(const Ep& e) const {
-        const auto since = static_cast<double>(now - e.cut_at) / second;
-        return std::max(blind_load * filled(e), shed_load * (1 - since / shed_lasts));
+        const double usual = blind_load + (shed_load - blind_load) * std::min(1.0, 2 * soon_cut_part());
+        return std::max(usual * filled(e), shed(e));
     }
+    double shed(const Ep& e) const {
+        return shed_load * (1 - static_cast<double>(now - e.cut_at) / second / shed_lasts);
+    }
+    // Of the tunnels that opened in the last 3 s or so, those that were cut off soon after.
+    double soon_cut_part() const { return cut_lately / std::max(stood_lately, 4.0); }
     // One that has just started is empty, and may take so little that it fills over its warm-up.
     double filled(const Ep& e) const {
         return cold(e) ? static_cast<double>(now - e.started) / static_cast<double>(terms.rules.cold) : 1;
     }
     double asked(const Ep& e) const {  // of an ep, by all nodes
-        if (blind(e)) return guessed(e) * room(e);  // its own few tunnels would set a node apart from the others
+        if (blind(e)) return guessed(e) * room(e);  // with its own few tunnels a node would be apart
         if (!sums_known) return e.pending + (e.x > 0 ? e.x * room(e) : 0);
         const double copies = terms.groups ? group_copy * records.groups().groups_on(e.id) : 0;
         return e.mine + e.pending + e.elsewhere + copies * mean_load();
@@ -64,10 +75,10 @@
         sums_known = unknown == 0;
         double sum = 0, size = 0, load = 0, all = 0;
         for (const auto& e : eps) {
-            if (e.life != Life::in_service || (!sums_known && std::isnan(e.x))) continue;
+            if (e.life != Life::in_service || (!sums_known && std::isnan(e.x) && !blind(e))) continue;
             load += asked(e);
             all += room(e);
-            if (sums_known && e.room <= 0) continue;
+            if (sums_known ? e.room <= 0 : std::isnan(e.x)) continue;
             sum += sums_known ? e.room : e.x * e.size;
             size += e.size;
         }
--- a/src/balance/state.h
+++ b/src/balance/state.h
@@ -284,6 +284,7 @@
     Tenths quickest_message = never, longest_timeout = 0;
     Tenths report_pause = second, tell_pause = second;
     double opened_lately = 0, ended_lately = 0, placed_lately = 0;
+    double stood_lately = 0, cut_lately = 0;  // of what opened; of that, what was soon cut off
     witness::Sums lately;  // of the outcomes on all eps
     double mean_credit = 0, moves_left = 2;
     double room_a_size = 2.5, fleet_load = 0, ends_a_second = 0, carried_time = 0;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -1011,6 +1011,53 @@
     CHECK(cold_ones < 200);
 }
 
+TEST_CASE("where all that opens is soon cut off, a blind node holds back, uses cold eps, and takes up again") {
+    auto terms = mute_groups(0);
+    terms.rules.cold = 20 * s;
+    terms.rules.cold_from = 0.2;
+    Node n(terms);
+    std::vector<std::uint32_t> eps(30);
+    for (std::uint32_t i = 0; i < 30; ++i) eps[i] = i + 1;
+    n.list(eps);
+    n.pass(30 * s);
+    std::uint64_t t = 0;
+    // Ten tunnels a second; what is sent to the old eps lives for 0.2 s.
+    const auto come = [&](int tunnels, bool cut) {
+        const auto sent_before = n.sent.size(), declined_before = n.declined.size();
+        for (int i = 0; i < tunnels; ++i) {
+            n.arrive(++t, key_of(t));
+            if (n.setups_of(t) > 0) {
+                n.open(t);
+                const bool old = n.last().ep <= 30;
+                n.pass(100 * ms);
+                if (old && cut) n.end(t, Ending::broken, true);
+                else n.pass(100 * ms);
+            }
+            n.pass(100 * ms);
+        }
+        return std::pair(n.sent.size() - sent_before, n.declined.size() - declined_before);
+    };
+    const auto [before, declined] = come(100, false);
+    CHECK(before == 100);
+    CHECK(declined == 0);
+    static_cast<void>(come(30, true));
+    const auto [storm, held_back] = come(200, true);
+    CHECK(storm < 60);
+    CHECK(storm > 2);  // it finds out from time to time
+    CHECK(held_back + storm == 200);
+    n.b->list_begin(ListKind::changes);
+    for (std::uint32_t i = 41; i <= 70; ++i) n.b->listed(i, 0, 0, Life::in_service, 1, n.now);
+    n.b->list_end();
+    const auto from = n.sent.size();
+    static_cast<void>(come(100, true));
+    CHECK(std::count_if(n.sent.begin() + static_cast<std::ptrdiff_t>(from), n.sent.end(),
+                        [](const Sent& x) { return x.ep > 40; }) >= 40);
+    static_cast<void>(come(30, false));
+    const auto [after, still] = come(100, false);
+    CHECK(after >= 95);
+    CHECK(still <= 5);
+}
+
 TEST_CASE("where nothing tells of load, an ep that cuts a tunnel off gets no other for a while") {
     Node n(mute(0));
     n.list({1, 2, 3, 4});
@@ -1046,6 +1093,50 @@
     CHECK(std::count_if(used.begin(), used.end(), [](int x) { return x > 0; }) >= 4);
 }
 
+TEST_CASE("nodes that may not talk do not all crowd the ep whose report shows it as the lightest") {
+    auto terms = mute(0);
+    terms.limits.probing = true;
+    std::vector<std::uint32_t> eps(20);
+    for (std::uint32_t i = 0; i < 20; ++i) eps[i] = i + 1;
+    Node n(terms);
+    n.list(eps);
+    std::vector<int> used(21);
+    for (std::uint64_t t = 1; t <= 400; ++t) {
+        n.pass(20 * ms);
+        for (const auto p : std::exchange(n.probes, {})) {
+            Report r;
+            r.load = p == 7 ? 0.1 : p == 9 ? 0.95 : 0.45;
+            n.b->probed(p, Ending::ok, ms, r);
+        }
+        n.arrive(t, key_of(t));
+        n.open(t);
+        ++used[n.last().ep];
+        n.end(t, Ending::ok, true);
+    }
+    CHECK(used[7] >= 20);  // an even share is 20
+    CHECK(used[7] < 80);
+    CHECK(used[9] < 10);
+}
+
+TEST_CASE("nodes that may not talk spread their first probes over the pause between two") {
+    auto terms = Node::usual(0, 300);
+    terms.limits.peers = false;
+    terms.prices.probe = 0.004;
+    Node n(terms);
+    std::vector<std::uint32_t> eps(80);
+    for (std::uint32_t i = 0; i < 80; ++i) eps[i] = i + 1;
+    n.list(eps, ListKind::remembered);
+    std::vector<std::size_t> by;
+    for (int i = 0; i < 8; ++i) {
+        n.pass(1 * s);
+        by.push_back(n.probes.size());
+        for (const auto p : n.probes) n.b->probed(p, Ending::ok, ms, {});
+    }
+    CHECK(by[3] >= 20);
+    CHECK(by[3] <= 60);
+    CHECK(by[7] >= 75);
+}
+
 TEST_CASE("what a client names is no group where the settings have none") {
     auto terms = mute(0);
     Node n(terms);
