--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -1025,7 +1025,8 @@
     const auto come = [&](int tunnels, bool cut) {
         const auto sent_before = n.sent.size(), declined_before = n.declined.size();
         for (int i = 0; i < tunnels; ++i) {
-            n.arrive(++t, key_of(t));
+            ++t;
+            n.arrive(t, key_of(t));
             if (n.setups_of(t) > 0) {
                 n.open(t);
                 const bool old = n.last().ep <= 30;
