The first call after discovery is lost is spread by the number of nodes

Change: the first pause is 50 ms a node, 1.5 s at most, 0.25 s at least. Test: a story of 300 nodes.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -44,6 +44,7 @@
 struct Mind final : Balancer, peer::Listener, Talk {
     Mind(Terms given, Host& to, Tenths at) : Talk(std::move(given), to, at) {
         ask_list_at = now + draw_span(backoff::first_call_within(peers.size()));
+        list_calls = backoff::Backoff(std::max(second / 4, backoff::first_call_within(peers.size())));
         last_report = now - draw_span(report_every);
         for (double x = 0; x <= most_load; x += 1 / harm_steps)
             harms.push_back((1 + late_slope * x) * std::exp(-late_slope * (1 - x)));
--- a/tests/backoff.cpp
+++ b/tests/backoff.cpp
@@ -84,6 +84,22 @@
         }
 }
 
+TEST_CASE("300 nodes that lose discovery together spread their first calls over a second, not a moment") {
+    std::vector<Tenths> after;
+    for (std::uint32_t i = 0; i < 60; ++i) {
+        Terms t = asking(300);
+        t.seed = 7919 * (i + 1);
+        Node n(t);
+        n.list({7, 8}, ListKind::remembered);
+        n.pass(2 * s);
+        n.list({}, ListKind::failed);
+        after.push_back(until_asked(n, 20 * s));
+    }
+    std::sort(after.begin(), after.end());
+    CHECK(after[54] - after[6] > 7 * s / 10);
+    CHECK(after.back() <= backoff::longest_pause + 100 * ms);
+}
+
 TEST_CASE("a node that must ask calls again within the bound, after each of many failures") {
     Node n(asking(300));
     n.list({7, 8}, ListKind::remembered);
