--- a/tests/fake.h
+++ b/tests/fake.h
@@ -133,7 +133,9 @@
     }
 };
 
+// (Not "k" + to_string(n): GCC 12 warns there of a copy that overlaps, bug 105651, where it inlines enough.)
 inline std::string key_of(std::uint64_t n) { return std::string("k").append(std::to_string(n)); }
+inline std::string group_of(std::uint64_t n) { return std::string("g").append(std::to_string(n)); }
 
 // Carries all waiting messages between nodes.
 inline void deliver(std::vector<Node*> nodes) {
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -968,7 +968,7 @@
     for (std::uint64_t t = 1; t <= 200; ++t) {
         Node& n = nodes[t % 3];
         for (auto& each : nodes) each.pass(20 * ms);
-        const std::string key = key_of(t), group = "g" + std::to_string(t % 5);
+        const std::string key = key_of(t), group = group_of(t % 5);
         n.b->arrive(t, {.key = key, .group = group, .give_up_at = n.now + 3 * s});
         REQUIRE(n.setups_of(t) == 1);
         used[t % 5].push_back(n.last().ep);
@@ -1001,7 +1001,7 @@
     int cold_ones = 0;
     for (std::uint64_t t = 1; t <= 300; ++t) {
         n.pass(50 * ms);
-        const std::string key = key_of(t), group = "g" + std::to_string(t % 40);
+        const std::string key = key_of(t), group = group_of(t % 40);
         n.b->arrive(t, {.key = key, .group = group, .give_up_at = n.now + 3 * s});
         REQUIRE(n.setups_of(t) == 1);
         cold_ones += n.last().ep > 10 ? 1 : 0;
