--- a/src/lab/day.h
+++ b/src/lab/day.h
@@ -82,6 +82,9 @@
 // Met by days that are written, or drawn for what nodes share.
 bool among_nodes(FaultKind kind);
 
+// As many as machines and ports of the rig's blocks of the loopback leave room for (rig/places.h).
+inline constexpr std::uint32_t most_nodes = 4096, most_hosts = 2048;
+
 struct Day {
     std::uint64_t seed = 1;
     Tenths span = 200000;
