A host that answers probes again is probed no more often than others

Cause: Mind::send_probes, e.silent: a silent host is probed each second until it is known to be sound again, which here only a tunnel of the node itself can tell, and nodes have few. A probe's answer leaves the flag as it is, and so the pace. Ruled out: the pace by price (8 s at most for 86 hosts are 11 a node and second); words of others (there are none). Change: each second only while no probe has been answered since it was found silent. When it comes back is as before. The story had 32 probes in 32 s of answers before, 6 are the most allowed.

--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -1098,7 +1098,8 @@
             // Without sums an ep's reporter probes for all; the others only where they hear nothing of it.
             const bool alone = sums_known || !talks();  // no reporter tells of it
             const bool mine = alone || e.rank != not_reporting;
-            const Tenths wait = e.silent ? probe_every
+            const bool unanswered = e.silent && e.probe_good_at <= e.bad_at;  // is it back? else a trial will tell
+            const Tenths wait = unanswered ? probe_every
                                 : mine   ? pause * (alone ? 1 : 1 + 4 * e.rank)
                                          : 8 * tell_pause;
             if (now - std::max(e.probed_at, mine ? -never : e.x_at) < wait) continue;
--- a/tests/loads.cpp
+++ b/tests/loads.cpp
@@ -147,3 +147,25 @@
         CHECK(far < 100);  // but its own zone goes first
     }
 }
+
+TEST_CASE("a silent ep is probed each second until it answers, then no more often than others") {
+    auto terms = Node::usual(0, 100);
+    terms.limits.peers = false;
+    terms.prices.probe = 1;  // eight seconds between two
+    Node n(terms);
+    n.list({1, 2, 3, 4, 5, 6, 7, 8});
+    const auto probes_of_1 = [&](int seconds, Ending ending) {
+        int probes = 0;
+        for (int i = 0; i < 10 * seconds; ++i) {
+            n.pass(100 * ms);
+            for (const auto p : std::exchange(n.probes, {})) {
+                probes += p == 1 ? 1 : 0;
+                n.b->probed(static_cast<std::uint32_t>(p), p == 1 ? ending : Ending::ok, ms, {});
+            }
+        }
+        return probes;
+    };
+    static_cast<void>(probes_of_1(40, Ending::timed_out));  // until it is set aside
+    CHECK(probes_of_1(20, Ending::timed_out) >= 18);
+    CHECK(probes_of_1(32, Ending::ok) <= 6);
+}
