--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -354,8 +354,8 @@
         return crowding(e, load) + copy + (e.zone != terms.zone ? terms.prices.cross_zone : 0);
     }
     // What it costs more, on average, that a load is known only to within `unsure`: harm grows the faster the
-    // fuller an ep is. Guards against a small price (of crossing zones) that decides all where no load is known.
-    // Of a cold ep more is known: it began empty.
+    // fuller an ep is. Guards against a small price (of crossing zones) that decides all where no load is
+    // known. Of a cold ep more is known: it began empty.
     double unsure_price() const {
         return (harm(blind_load - unsure, 1) + harm(blind_load + unsure, 1)) / 2 - harm(blind_load, 1);
     }
@@ -1098,7 +1098,8 @@
             // Without sums an ep's reporter probes for all; the others only where they hear nothing of it.
             const bool alone = sums_known || !talks();  // no reporter tells of it
             const bool mine = alone || e.rank != not_reporting;
-            const bool unanswered = e.silent && e.probe_good_at <= e.bad_at;  // is it back? else a trial will tell
+            // Is it back? Once it answers probes a trial tells, and probes no more than of others.
+            const bool unanswered = e.silent && e.probe_good_at <= e.bad_at;
             const Tenths wait = unanswered ? probe_every
                                 : mine   ? pause * (alone ? 1 : 1 + 4 * e.rank)
                                          : 8 * tell_pause;
