One attempt policy, reasons told and counted, violations checked at run time

Cause: whether something may be sent, repeated, promised, closed or left was decided in five places (ended, finish, may_still_send, TakeIn::owes, Send), and a log told that a tunnel was declined, not why. Change: src/balance/attempt_policy holds these rules as pure functions; the module asks it. Reason (balance/reason.h) names why; each final answer that opens nothing is explained in the log at debug and counted by reason in the line of the second (because_*). account/violations.h: effects that should not have been are checked where they happen (first byte of an attempt, a connection dropped, last words, exit) and told as 'rule violated:'; the lab breaks the rule self_check on such a line.

--- a/src/account/costs.cpp
+++ b/src/account/costs.cpp
@@ -1,5 +1,6 @@
 #include "account/costs.h"
 
+#include <string>
 #include <string_view>
 
 namespace lemonstair::account {
@@ -7,7 +8,7 @@
 namespace {
 
 constexpr std::array<std::string_view, endings> ending_names{
-    "opened", "error", "full", "timed_out", "unreachable", "broken", "called_off", "not_sent"};
+    "opened", "error", "full", "timed_out", "unreachable", "broken", "called_off", "not_sent", "withdrawn"};
 
 }  // namespace
 
@@ -17,6 +18,10 @@
     };
     write("setups", now.setups, before.setups);
     for (std::size_t i = 0; i < endings; ++i) write(ending_names[i], now.ended[i], before.ended[i]);
+    for (std::size_t i = 0; i < reasons; ++i)
+        write("because_" + std::string(name_of(static_cast<Reason>(i))), now.because[i], before.because[i]);
+    for (std::size_t i = 0; i < rules; ++i)
+        write("violated_" + std::string(name_of(static_cast<Rule>(i))), now.violations[i], before.violations[i]);
     write("probes", now.probes, before.probes);
     write("probe_lines", now.probe_lines, before.probe_lines);
     write("calls", now.calls, before.calls);
--- a/src/account/costs.h
+++ b/src/account/costs.h
@@ -7,14 +7,12 @@
 #include <ostream>
 #include <span>
 
+#include "account/violations.h"
 #include "balance/balance.h"
 #include "peer/codec.h"
 
 namespace lemonstair::account {
 
-constexpr std::size_t endings = 8;  // of a setup; opened is one of them
-static_assert(static_cast<std::size_t>(Ending::not_sent) + 1 == endings);
-
 struct Costs {
     std::uint64_t datagrams = 0;  // to one node each
     peer::Sizes peer_bytes{};     // by kind, once for each node that is to hear them
@@ -22,13 +20,16 @@
     std::uint64_t calls = 0, calls_failed = 0;  // to discovery
     std::uint64_t call_waited_ms = 0;           // for its answers
     std::uint64_t setups = 0;
-    std::array<std::uint64_t, endings> ended{};
+    std::array<std::uint64_t, endings> ended{};    // setups; opened is one of them
+    std::array<std::uint64_t, reasons> because{};  // final answers that open nothing, and attempts not written
+    Violations violations{};
     std::uint64_t processor_us = 0;
 
     void told(std::span<const std::uint8_t> bytes, std::size_t hearers) {
         datagrams += hearers;
         peer::add_sizes(bytes, hearers, peer_bytes);
     }
+    void explained(Reason reason) { ++because[static_cast<std::size_t>(reason)]; }
     void setup_ended(Ending ending) { ++ended[static_cast<std::size_t>(ending)]; }
     bool operator==(const Costs&) const = default;
 };
--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -7,6 +7,7 @@
 
 #include <cmath>
 
+#include "balance/attempt_policy.h"
 #include "balance/carry.h"
 #include "balance/talk.h"
 
@@ -522,7 +523,7 @@
     // worse than the others. `by`: the node whose setup it was; only one's own say that an ep is out of
     // reach.
     void judge(Ep& e, Ending ending, bool by_probe, std::uint32_t by) {
-        if (ending == Ending::called_off || ending == Ending::not_sent || ending == Ending::full) return;
+        if (ending == Ending::called_off || ending == Ending::full || says_nothing_of_endpoint(ending)) return;
         const bool own = by == terms.me;
         // Setups may share a store that probes do without, so a setup's time-out says less of the ep.
         e.outcomes.count(ending != Ending::ok, ending == Ending::timed_out && !by_probe, lately, now);
@@ -606,7 +607,23 @@
     // ---- placing
     // To what already holds the tunnel, until the drain's grace is over.
     bool may_still_send(const Ep& e) const {
-        return e.life == Life::in_service || now < e.told_at + terms.rules.drain_grace - 2 * terms.tick;
+        return attempt_policy::may_send_to({e.life, e.told_at}, terms.rules.drain_grace, now,
+                                           2 * terms.tick) == Reason::allowed;
+    }
+    attempt_policy::Allowance allowance_of(const Tun& t) const {
+        const Profile& p = terms.profiles[t.profile];
+        return {p.effect, p.scope, p.window, terms.limits.max_setups, t.give_up_at, terms.tick};
+    }
+    static attempt_policy::History history_of(const Tun& t) {
+        return {t.setups, t.ran_ep != none, t.ran_since};
+    }
+    Reason may_write(std::uint64_t id, Tenths reserve) const override {
+        const std::uint32_t at = tun_index.find(id);
+        if (at == none || tuns[at].state != State::setting_up) return Reason::client_gone;
+        const Tun& t = tuns[at];
+        const Ep& e = eps[t.ep];
+        return attempt_policy::may_write(allowance_of(t), history_of(t), {e.life, e.told_at},
+                                         terms.rules.drain_grace, now, reserve);
     }
     bool same_scope(const Tun& t, const Ep& e) const {
         if (t.ran_ep == none) return true;
@@ -697,7 +714,8 @@
         if (ep != none) return send(at, ep);
         // No ep may be sent anything now (all cold, or no list yet): wait within the setup goal.
         t.due = std::min(t.arrived + terms.profiles[t.profile].setup_goal, t.give_up_at - 4 * terms.tick);
-        if (now + terms.tick >= t.due || (too_dear && !waits_for_unit(t))) return finish(at);
+        if (too_dear && !waits_for_unit(t)) return finish(at, Reason::too_costly);
+        if (now + terms.tick >= t.due) return finish(at, Reason::no_endpoint);
         go(at, State::holding);
         if (waits_for_unit(t)) borrow_for(at);
     }
@@ -746,12 +764,11 @@
         tuns.give_back(at);
     }
     // The final answer of a tunnel that is given up: at once, and a decline wherever that is true.
-    void finish(std::uint32_t at) {
+    void finish(std::uint32_t at, Reason why) {
         Tun& t = tuns[at];
-        const Profile& p = terms.profiles[t.profile];
-        const bool known = p.effect == Effect::referenced && p.scope == Scope::all;
-        if (t.ran_ep == none || p.effect == Effect::repeatable || (known && now < t.ran_since + p.window))
-            host.decline(t.id, std::min(terms.limits.max_come_back, p.setup_goal));
+        host.explain(t.id, why);
+        if (attempt_policy::may_promise_no_effect(allowance_of(t), history_of(t), now))
+            host.decline(t.id, std::min(terms.limits.max_come_back, terms.profiles[t.profile].setup_goal));
         else
             host.close_with_error(t.id);
         release(at);
@@ -777,7 +794,7 @@
         const peer::Delivery delivery(outbox);
         const std::uint32_t at = admit(id, a);
         Tun& t = tuns[at];
-        if (!a.mid_flow) return gate_open() ? place(at) : finish(at);
+        if (!a.mid_flow) return gate_open() ? place(at) : finish(at, Reason::gate_shut);
         if (!t.keyed || asking.find(t.key) != none) return place(at);
         Ring::Chain nodes{};
         chain(t.key, nodes);
@@ -858,7 +875,8 @@
         Tun& t = tuns[at];
         if (t.state == State::setting_up) {
             judged(eps[t.ep], ending);
-            if (ending != Ending::unreachable) ++ended_lately;  // that one did not get as far as a jam
+            // These did not get as far as a jam.
+            if (ending != Ending::unreachable && ending != Ending::withdrawn) ++ended_lately;
             if (ending == Ending::ok) ++opened_lately;
         }
         if (t.state == State::standing && ending == Ending::ok) ++ends;
@@ -867,22 +885,22 @@
             if (now - t.sent < soon_cut) ++cut_lately;
         }
         if (settled || t.state == State::answered) return release(at);
-        if (t.state != State::setting_up) return finish(at);
-        const Profile& p = terms.profiles[t.profile];
+        if (t.state != State::setting_up) return finish(at, Reason::attempts_used);
         if (!never_ran(ending) && t.ran_ep == none) {
             t.ran_ep = t.ep;
             t.ran_since = t.sent;
         }
-        bool again = t.setups < terms.limits.max_setups && t.give_up_at - now > 4 * terms.tick &&
-                     ending != Ending::not_sent;
-        if (t.ran_ep != none && p.effect == Effect::once_only) again = false;
-        if (t.ran_ep != none && p.effect == Effect::referenced)
-            again = again && now + terms.tick < t.ran_since + p.window;
+        const Reason reason = may_try_again(t, ending);
+        if (reason != Reason::allowed) return finish(at, reason);
+        place(at);
+    }
+    Reason may_try_again(const Tun& t, Ending ending) {
+        const Reason reason = attempt_policy::may_repeat(allowance_of(t), history_of(t), ending, now);
+        if (reason != Reason::allowed) return reason;
         // Where most setups fail everywhere, another try would only add to it.
         if (ending == Ending::timed_out && eps[t.ep].outcomes.elsewhere(lately, now) > witness::bad_part / 2)
-            again = false;
-        if (!again || !gate_open()) return finish(at);
-        place(at);
+            return Reason::failing_everywhere;
+        return gate_open() ? Reason::allowed : Reason::gate_shut;
     }
     void answer_by(Tenths when) override {
         for (std::uint32_t i = 0; i < tuns.places(); ++i)
@@ -1082,8 +1100,10 @@
         const std::uint32_t ep = choose(t);
         if (ep != none)
             send(at, ep);
-        else if ((too_dear && !waits_for_unit(t)) || now + sweep_every >= t.due)
-            finish(at);
+        else if (too_dear && !waits_for_unit(t))
+            finish(at, Reason::too_costly);
+        else if (now + sweep_every >= t.due)
+            finish(at, Reason::no_endpoint);
         else if (waits_for_unit(t))
             borrow_for(at);
     }
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -10,6 +10,8 @@
 #include <string_view>
 #include <vector>
 
+#include "balance/reason.h"
+
 namespace lemonstair {
 
 using Tenths = std::int64_t;
@@ -19,13 +21,28 @@
 enum class Life : std::uint8_t { in_service, draining, gone };
 // elsewhere: it is kept by another service now, from which nothing was heard yet.
 enum class ListKind : std::uint8_t { changes, whole, remembered, failed, elsewhere };
-enum class Ending : std::uint8_t { ok, error, full, timed_out, unreachable, broken, called_off, not_sent };
+// withdrawn: it was never written, since its time, its endpoint or its client had gone; the endpoint is not to blame.
+enum class Ending : std::uint8_t {
+    ok,
+    error,
+    full,
+    timed_out,
+    unreachable,
+    broken,
+    called_off,
+    not_sent,
+    withdrawn
+};
+constexpr std::size_t endings = static_cast<std::size_t>(Ending::withdrawn) + 1;
 
 // Whether an ending proves that the setup never ran.
 constexpr bool never_ran(Ending e) {
-    return e == Ending::full || e == Ending::unreachable || e == Ending::not_sent;
+    return e == Ending::full || e == Ending::unreachable || e == Ending::not_sent || e == Ending::withdrawn;
 }
 
+// Whether an ending tells nothing of the endpoint: the trouble was this process's, or the client's.
+constexpr bool says_nothing_of_endpoint(Ending e) { return e == Ending::not_sent || e == Ending::withdrawn; }
+
 struct Profile {
     Tenths setup_goal = 0;
     Tenths client_timeout = 0;
@@ -98,6 +115,8 @@
     virtual void set_up(std::uint64_t tun, std::uint32_t ep, Tenths max_wait) = 0;
     virtual void decline(std::uint64_t tun, Tenths come_back_after) = 0;
     virtual void close_with_error(std::uint64_t tun) = 0;
+    // Why the tunnel is tried again, or has the final answer that follows: for logs and counters.
+    virtual void explain(std::uint64_t, Reason) {}
     virtual void move(std::uint64_t tun) = 0;
     virtual void probe(std::uint32_t ep) = 0;
     virtual void watch_list() = 0;
@@ -142,6 +161,9 @@
     virtual void ended(std::uint64_t tun, int setup, std::uint32_t ep, Ending ending, Tenths took,
                        bool settled) = 0;
     virtual void client_left(std::uint64_t tun) = 0;
+    // Whether the attempt that is out for a tunnel may still be written, where that may take until `reserve` from
+    // now. Asked before its first byte; and after it, without reserve, to check that no rule was broken.
+    virtual Reason may_write(std::uint64_t tun, Tenths reserve) const = 0;
     // The node will not be there for longer: no tunnel that waits now may wait past this.
     virtual void answer_by(Tenths when) = 0;
     virtual void load_changed(std::uint64_t tun, double load) = 0;  // a share of a standard core
--- a/src/lab/rules.cpp
+++ b/src/lab/rules.cpp
@@ -47,6 +47,7 @@
         {"left_over", "a node that carries nothing holds no tunnel, buffer, connection or heap of timers"},
         {"spin", "no pass of the loop is called again and again for something that it does nothing about"},
         {"crash", "no node ends unasked"},
+        {"self_check", "no node finds at run time that it did what its own policy forbids"},
         {"budget", "all nodes together send a cold host no more of its budget than the day's bound"},
     };
     return rows;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -59,14 +59,18 @@
 
 class TraceDrain final : public log::Drain {
   public:
-    TraceDrain(stand::Town& town, std::uint32_t node) : town_(town), node_(node) {}
+    TraceDrain(stand::Town& town, Rules& rules, std::uint32_t node)
+        : town_(town), rules_(rules), node_(node) {}
     std::size_t take(std::string_view text) override {
         town_.note("log", node_, 0, text.substr(0, text.size() - (text.empty() ? 0 : 1)));
+        if (const auto at = text.find(account::violation_mark); at != std::string_view::npos)
+            rules_.broke("self_check", "node " + std::to_string(node_) + ": " + std::string(text.substr(at, 100)));
         return text.size();
     }
 
   private:
     stand::Town& town_;
+    Rules& rules_;
     std::uint32_t node_;
 };
 
@@ -197,7 +201,7 @@
     const simnet::Process::Traits traits{s.clock_ahead, day_.pass_takes, day_.sockets};
     r.process = std::make_unique<simnet::Process>(agenda_, network_, s.machine, traits);
     r.process->files()[file_name] = s.file;
-    r.drain = std::make_unique<TraceDrain>(stage_->town(), node);
+    r.drain = std::make_unique<TraceDrain>(stage_->town(), rules_, node);
     r.log = std::make_unique<log::Log>(log::Level::info, *r.drain);
     r.since = agenda_.now();
     r.mixed = s.old.process != nullptr;
--- a/src/net/kernel.cpp
+++ b/src/net/kernel.cpp
@@ -108,6 +108,11 @@
     return error;
 }
 
+bool Kernel::hung_up(int fd) {
+    pollfd asked{fd, POLLRDHUP, 0};
+    return ::poll(&asked, 1, 0) > 0 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 Transfer read_some(int fd, std::span<char> into) { return received(::recv(fd, into.data(), into.size(), 0)); }
 
 Transfer Kernel::peek(int fd, std::span<char> into) {
--- a/src/net/kernel.h
+++ b/src/net/kernel.h
@@ -30,6 +30,7 @@
     Fd accept(int listener) override;
     Fd spare() override;
     int connected(int fd) override;
+    bool hung_up(int fd) override;
     Transfer read_some(int fd, std::span<char> into) override { return net::read_some(fd, into); }
     Transfer peek(int fd, std::span<char> into) override;
     Transfer discard_some(int fd) override;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -33,6 +33,11 @@
     explicit Loop(System& system) : system_(system) {}
     System& system() const { return system_; }
     Tenths now() const { return now_; }
+    // The time of just now, for what must not rely on when this pass began.
+    Tenths refresh() {
+        tick();
+        return now_;
+    }
     std::uint32_t add(int fd, short events, Waiter& waiter, std::uint64_t token, Turn turn = Turn::usual);
     void wait_for(std::uint32_t slot, short events) {
         polled_[slot].events = events;
@@ -144,6 +149,7 @@
     Transfer write(std::string_view text) const { return loop_->system().write_some(fd_.get(), text); }
     // What became of a connection under way, as an errno; 0: it is up.
     int connected() const { return loop_->system().connected(fd_.get()); }
+    bool hung_up() const { return loop_->system().hung_up(fd_.get()); }
     void end_sending() const { loop_->system().end_sending(fd_.get()); }
     Fd accept() const { return loop_->system().accept(fd_.get()); }
     bool open() const { return fd_.open(); }
--- a/src/net/system.h
+++ b/src/net/system.h
@@ -49,6 +49,8 @@
     virtual Fd spare() = 0;
     // What became of a connection under way, as an errno; 0: it is up.
     virtual int connected(int fd) = 0;
+    // Whether the other side has ended its sending, or the connection is over, also behind unread bytes.
+    virtual bool hung_up(int fd) = 0;
     virtual Transfer read_some(int fd, std::span<char> into) = 0;
     // The same, but the bytes stay unread.
     virtual Transfer peek(int fd, std::span<char> into) = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -49,7 +49,7 @@
              [this](std::uint32_t node, std::span<const std::uint8_t> bytes) {
                  stages_.floor.mind().told(node, bytes);
              }),
-      orders_(loop_, peers_, log_),
+      orders_(loop_, peers_, log_, costs_),
       watch_(loop_, stages_.floor.pool, launch_.discovery, *this, log_, costs_),
       prober_(loop_, stages_.floor.pool, hosts_, *this, launch_, costs_),
       desk_(loop_, *this, log_),
@@ -144,7 +144,11 @@
 }
 
 void Node::go(Phase to) {
-    const auto& floor = stages_.floor;
+    auto& floor = stages_.floor;
+    const std::size_t owed = floor.admitted + floor.departing;
+    if (to == Phase::left && phase_ != Phase::starting && owed > 0 &&
+        !handover::hands_over(succession_.stand()))
+        floor.violated(account::Rule::exited_with_debts, 0, std::to_string(owed) + " tunnels in hand");
     log_.info() << launch_.name << ": " << name_of(static_cast<int>(phase_)) << " -> "
                 << name_of(static_cast<int>(to)) << ", " << hosts_.size() << " hosts known, " << floor.in_hand
                 << " tunnels, room for " << stages_.admit.room();
--- a/src/node/orders.h
+++ b/src/node/orders.h
@@ -23,7 +23,8 @@
         std::uint64_t tun = 0;
         Tenths span = 0;
     };
-    Orders(net::Loop& loop, PeerLink& peers, log::Log& log) : loop_(loop), peers_(peers), log_(log) {}
+    Orders(net::Loop& loop, PeerLink& peers, log::Log& log, account::Costs& costs)
+        : loop_(loop), peers_(peers), log_(log), costs_(costs) {}
     // Another will decide from now on: what the last one was to be woken for counts no more.
     void expect_another() {
         if (!minds_.empty()) minds_.back()->balancer = nullptr;
@@ -49,6 +50,10 @@
     void close_with_error(std::uint64_t tun) override {
         waiting_.push_back({Kind::close_with_error, 0, tun});
     }
+    void explain(std::uint64_t tun, Reason why) override {
+        costs_.explained(why);
+        log_.debug() << "tunnel " << static_cast<std::uint32_t>(tun) << " is given up: " << name_of(why);
+    }
     void move(std::uint64_t tun) override { waiting_.push_back({Kind::move, 0, tun}); }
     void probe(std::uint32_t ep) override { waiting_.push_back({Kind::probe, ep}); }
     void watch_list() override { waiting_.push_back({Kind::watch}); }
@@ -72,6 +77,7 @@
     net::Loop& loop_;
     PeerLink& peers_;
     log::Log& log_;
+    account::Costs& costs_;
     std::vector<std::unique_ptr<Mind>> minds_;  // timers may still name those before the last
     std::vector<Order> waiting_;
 };
--- a/src/simnet/process.h
+++ b/src/simnet/process.h
@@ -75,6 +75,7 @@
     net::Fd accept(int listener) override;
     net::Fd spare() override;
     int connected(int fd) override;
+    bool hung_up(int fd) override { return ready({fd, POLLRDHUP, 0}) != 0; }
     net::Transfer read_some(int fd, std::span<char> into) override;
     net::Transfer peek(int fd, std::span<char> into) override;
     net::Transfer discard_some(int fd) override;
--- a/src/tunnel/admit.cpp
+++ b/src/tunnel/admit.cpp
@@ -25,6 +25,7 @@
     t.client.wait_for(POLLIN | POLLRDHUP);  // its next bytes wait, unless they are another command
     if (full) {
         ++floor_.tally.busy;
+        floor_.costs.explained(Reason::node_full);
         return book_.decline(id, 0);
     }
     if (!holder.empty()) return route_.resume_standing(id);
--- a/src/tunnel/book.cpp
+++ b/src/tunnel/book.cpp
@@ -47,6 +47,7 @@
 // Guards against a system that takes a part of a line only: the client would have half an answer.
 void Book::say_last(Id id, std::string_view line) {
     Tunnel& t = *floor_.find(id);
+    if (t.state == State::departing) floor_.violated(account::Rule::answered_twice, id, line);
     const auto sent = t.client.write(line);
     if (sent.error != 0) return drop(id);
     depart(id);
@@ -80,6 +81,7 @@
 
 void Book::turn_away(Id id) {
     ++floor_.tally.bad;
+    floor_.costs.explained(Reason::bad_client);
     tell_left(id);
     close_with_error(id);
 }
--- a/src/tunnel/floor.cpp
+++ b/src/tunnel/floor.cpp
@@ -1,5 +1,9 @@
 #include "tunnel/floor.h"
 
+#include <array>
+
+#include "balance/attempt_policy.h"
+
 namespace lemonstair::tunnel {
 
 std::string_view name_of(State s) {
@@ -48,8 +52,34 @@
     t.classed = false;
 }
 
+void Floor::violated(account::Rule rule, Id id, std::string_view detail) {
+    ++costs.violations[static_cast<std::size_t>(rule)];
+    log.error() << account::violation_mark << name_of(rule) << ", tunnel " << static_cast<std::uint32_t>(id)
+                << ": " << detail;
+}
+
+bool Floor::client_is_gone(const Tunnel& t) const {
+    return !t.client.open() || t.client.hung_up();
+}
+
+// A connection that ends without last words: its client must have gone, or never have begun to speak.
+void Floor::check_ending(Id id, const Tunnel& t, State to) {
+    if (to != State::free || !t.client.open()) return;
+    const bool waits = t.state == State::deciding || t.state == State::connecting ||
+                       t.state == State::sending_line || t.state == State::awaiting_answer;
+    if (waits && !client_is_gone(t)) violated(account::Rule::closed_unanswered, id, name_of(t.state));
+    if (t.state != State::taking_in) return;
+    std::array<char, 1> next{};
+    const bool whole_line = t.opening.held() && t.opening.view().find('\n') != std::string_view::npos;
+    const attempt_policy::PendingInput input{t.client.peek(next).bytes, whole_line};
+    const Reason reason = attempt_policy::may_close_unanswered(input);
+    if (reason != Reason::allowed && !client_is_gone(t))
+        violated(account::Rule::closed_unanswered, id, name_of(reason));
+}
+
 void Floor::go(Id id, State to) {
     Tunnel& t = *find(id);
+    check_ending(id, t, to);
     const auto counts = [](State s) {
         return s != State::free && s != State::taking_in && s != State::departing;
     };
--- a/src/tunnel/floor.h
+++ b/src/tunnel/floor.h
@@ -78,6 +78,10 @@
     std::size_t granted() const { return launch.sockets > elsewhere ? launch.sockets - elsewhere : 0; }
     std::size_t taking_in() const { return in_hand - admitted - departing; }
     void go(Id id, State to);
+    // Counts and tells an effect that should not have been.
+    void violated(account::Rule rule, Id id, std::string_view detail);
+    // Whether the client has ended its sending or its connection, asked of the system just now.
+    bool client_is_gone(const Tunnel& t) const;
 
     net::Loop& loop;
     net::Waiter& waiter;
@@ -113,6 +117,7 @@
     bool comes_in(Tunnel& t);
 
   private:
+    void check_ending(Id id, const Tunnel& t, State to);
     void count_outcome(Tunnel& t, State to);
     void let_go(Tunnel& t, std::uint32_t place);
     std::array<std::uint64_t, 1024> spent_names_{};
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -27,6 +27,7 @@
 
 void Send::start(Id id, std::uint32_t place, Tenths longest_wait) {
     Tunnel& t = *floor_.find(id);
+    if (t.host.open()) floor_.violated(account::Rule::repeated_without_leave, id, name_of(t.state));
     t.place = place;
     ++t.setups;
     t.setup_from = floor_.loop.now();
@@ -93,6 +94,7 @@
     Tunnel& t = *floor_.find(id);
     const auto sent = t.host.write(t.up.waiting.view());
     if (sent.error != 0) return failed(id, Ending::unreachable);
+    if (sent.bytes > 0) check_written(id);
     t.up.waiting.take(sent.bytes);
     if (!t.up.waiting.empty()) return;
     t.up.waiting.give_back();
@@ -102,6 +104,16 @@
     floor_.set_due(id, t, t.setup_until);
 }
 
+// By the clock of just now: the process may have been held up since this pass began.
+void Send::check_written(Id id) {
+    const Tunnel& t = *floor_.find(id);
+    if (!t.known) return;
+    floor_.balancer->at(floor_.loop.refresh());
+    const Reason reason = floor_.balancer->may_write(id, 0);
+    if (reason != Reason::allowed && reason != Reason::no_time_left)
+        floor_.violated(account::Rule::written_without_leave, id, name_of(reason));
+}
+
 void Send::read_answer(Id id) {
     Tunnel& t = *floor_.find(id);
     if (!t.down.waiting.held()) t.down.waiting = floor_.pool.take();
--- a/src/tunnel/send.h
+++ b/src/tunnel/send.h
@@ -24,6 +24,7 @@
   private:
     void connect(Id id);
     void write_line(Id id);
+    void check_written(Id id);
     void read_answer(Id id);
     void answered(Id id, std::string_view line);
     bool sends_command(const Tunnel& t) const;
--- a/tests/spoilt.h
+++ b/tests/spoilt.h
@@ -72,6 +72,7 @@
     }
     net::Fd spare() override { return mine(real_.spare()); }
     int connected(int fd) override { return real_.connected(fd); }
+    bool hung_up(int fd) override { return real_.hung_up(fd); }
     net::Transfer read_some(int fd, std::span<char> into) override { return real_.read_some(fd, into); }
     net::Transfer peek(int fd, std::span<char> into) override { return real_.peek(fd, into); }
     net::Transfer discard_some(int fd) override { return real_.discard_some(fd); }
@@ -198,6 +199,9 @@
         real_->ended(tun, setup, own(tun, ep), ending, took, settled);
     }
     void client_left(std::uint64_t tun) override { real_->client_left(tun); }
+    Reason may_write(std::uint64_t tun, Tenths reserve) const override {
+        return real_->may_write(tun, reserve);
+    }
     void answer_by(Tenths when) override { real_->answer_by(when); }
     void load_changed(std::uint64_t tun, double load) override { real_->load_changed(tun, load); }
     void messages_slow(std::uint64_t tun, std::uint32_t ep, Tenths takes) override {
