A soak of overlapping troubles on 10 to 40 real processes, with a shim for clocks and calls

A library of our own (LD_PRELOAD) shifts the wall clock by 5 s or an hour, lets accept, socket, connect, poll, send, recv, open and read fail as their manual pages say, cuts reads and writes short, and holds the process up for up to 0.15 s after it has read its clock. Oracle: the lab's rules from the wire, two new ones (late_attempt: 0.1 s after the client left; slow_start: N and 2 root of N + 2) and the processes' own checks.

--- a/src/lab/day.h
+++ b/src/lab/day.h
@@ -112,6 +112,10 @@
     stand::HostTraits host;  // what hosts have in common; sizes are drawn around it
     // Of each cold host's budget, in any window of host.fall, judged from the wire at the end; 0: not judged.
     double most_of_budget = 0;
+    // Of the soak: a process may be held up for so long between reading its clock and writing; an answer counts as
+    // missing so long after its time; the bound on what a cold host is sent is judged.
+    Tenths held_up = 0, answer_slack = 500;
+    bool slow_start_judged = false;
     std::vector<Fault> faults;
 };
 
--- a/src/lab/ledger.h
+++ b/src/lab/ledger.h
@@ -15,7 +15,8 @@
     explicit Ledger(std::uint32_t hosts) : hosts_(hosts) {}
     void host_stands(std::uint32_t host, bool cold) { hosts_[host].cold = cold; }
     // budget: what all nodes together may send it in a window, as it stands now; 0: no such bound.
-    void setup_came(std::uint32_t host, Tenths at, bool mid_flow, double budget);
+    // told: its node has been told of the host's last start.
+    void setup_came(std::uint32_t host, Tenths at, bool mid_flow, double budget, bool told);
     // A tunnel was declined while hosts stood idle, or while none did.
     void declined(bool beside_idle) { ++declined_, declined_idle_ += beside_idle ? 1 : 0; }
 
@@ -26,6 +27,9 @@
     std::size_t most_within(std::uint32_t host, Tenths window) const;
     // The most of its budget that came within one window of such a length; 0: none came while it had one.
     double most_of_budget(std::uint32_t host, Tenths window) const;
+    // How many more came within one window, from nodes that were told, than chance allows beyond the budget then;
+    // at most 0: never more.
+    double most_over_allowance(std::uint32_t host, Tenths window) const;
     std::uint64_t declined() const { return declined_; }
     std::uint64_t declined_idle() const { return declined_idle_; }
 
@@ -34,6 +38,7 @@
         bool cold = false;  // it started cold at dawn
         std::vector<Tenths> came;
         std::vector<double> budget;  // at each of them
+        std::vector<char> told;
     };
     std::vector<Host> hosts_;
     std::uint64_t declined_ = 0, declined_idle_ = 0;
--- a/src/lab/rules.cpp
+++ b/src/lab/rules.cpp
@@ -48,6 +48,8 @@
         {"spin", "no pass of the loop is called again and again for something that it does nothing about"},
         {"crash", "no node ends unasked"},
         {"self_check", "no node finds at run time that it did what its own policy forbids"},
+        {"late_attempt", "no attempt begins later than 0.1 s after its client has left"},
+        {"slow_start", "a cold host is sent no more than N and 2 root of N + 2 (N under 30: N + 3 root of N + 3)"},
         {"budget", "all nodes together send a cold host no more of its budget than the day's bound"},
     };
     return rows;
@@ -61,7 +63,10 @@
       hosts_(day.hosts),
       cuts_(day.nodes + day.hosts),
       ledger_(day.hosts) {
-    for (Node& n : nodes_) n.not_in_service.assign(day.hosts, 0);
+    for (Node& n : nodes_) {
+        n.not_in_service.assign(day.hosts, 0);
+        n.told_at.assign(day.hosts, 0);
+    }
 }
 
 void Rules::broke(std::string rule, std::string what) {
@@ -76,6 +81,9 @@
         const double spent = ledger_.most_of_budget(h, day_.host.fall);
         if (day_.most_of_budget > 0 && spent > day_.most_of_budget)
             broke("budget", who + " was sent " + std::to_string(spent) + " of its budget");
+        const double over = ledger_.most_over_allowance(h, day_.host.fall);
+        if (day_.slow_start_judged && over > 0)
+            broke("slow_start", who + " was sent " + std::to_string(over) + " over what a cold host is allowed");
     }
 }
 
@@ -97,6 +105,7 @@
 void Rules::node_started(std::uint32_t node) {
     nodes_[node].lives.push_back({agenda_.now(), 0, NodeEnd::killed, 0});
     nodes_[node].not_in_service.assign(day_.hosts, 0);
+    nodes_[node].told_at.assign(day_.hosts, 0);
 }
 
 void Rules::node_told_to_leave(std::uint32_t node) {
@@ -155,7 +164,7 @@
     b.attempt = attempts_.size();
     attempts_.push_back({what.node, what.profile, agenda_.now(), 0, Answer::none});
     b.asked_at = agenda_.now();
-    b.taken_at = 0;
+    b.taken_at = b.left_at = 0;
     if (what.mid_flow) ++tally_.resumed;
 }
 
@@ -177,7 +186,7 @@
     if (!waited) return broke("twice", named(tunnel) + " was answered though it is not waiting");
     attempts_[b.attempt].answer = answer;
     attempts_[b.attempt].answered_at = agenda_.now();
-    if (b.taken_at != 0 && written_at > b.taken_at + b.asked.wait + margin &&
+    if (b.taken_at != 0 && written_at > b.taken_at + b.asked.wait + day_.answer_slack &&
         undisturbed(b.asked.node, b.taken_at, written_at))
         broke("answer", named(tunnel) + " was answered " +
                             std::to_string((written_at - b.taken_at - b.asked.wait) / 10) + " ms late");
@@ -199,7 +208,7 @@
     const stand::Profile& p = profile(b);
     const bool safe = p.effect == stand::Effect::repeatable ||
                       (p.effect == stand::Effect::referenced && p.scope == stand::Scope::all &&
-                       written_at <= b.setups.front().sent + p.window + margin);
+                       written_at <= b.setups.front().sent + p.window + margin + day_.held_up);
     if (!safe) broke("effect", named(tunnel) + " was declined though it may have run");
 }
 
@@ -207,12 +216,17 @@
     broke("twice", named(tunnel) + " heard '" + std::string(text.substr(0, 20)) + "' after its last words");
 }
 
-void Rules::left(stand::TunnelNo tunnel) { to(book(tunnel), State::over); }
+void Rules::left(stand::TunnelNo tunnel) {
+    Book& b = book(tunnel);
+    to(b, State::over);
+    b.left_at = agenda_.now();
+}
 
 void Rules::gave_up(stand::TunnelNo tunnel) {
     Book& b = book(tunnel);
     const bool owed = b.state == State::taken;
     to(b, State::over);
+    b.left_at = agenda_.now();
     if (owed && undisturbed(b.asked.node, b.taken_at, agenda_.now()))
         broke("answer", named(tunnel) + " got no answer in its time");
 }
@@ -241,7 +255,8 @@
         return broke("answer", named(tunnel) + " was closed without an answer");
     if (was != State::open) return;
     if (b.host_ended_at != 0) {
-        const Tenths late = written - b.host_ended_at - end_passed_in - 2 * day_.weather.most_delay;
+        const Tenths late =
+            written - b.host_ended_at - end_passed_in - 2 * day_.weather.most_delay - day_.held_up;
         if (!by_reset && late > margin && !b.asked.slow_reader &&
             machine_reached(machine_of_host(b.holder), b.host_ended_at - 1, agenda_.now()))
             broke("end_late", named(tunnel) + " was ended " + std::to_string((late + end_passed_in) / 10) +
@@ -353,6 +368,17 @@
 
 // ---- hosts
 
+// Guards against work for nobody: the client closed its connection before the attempt began.
+void Rules::judge_late_attempt(const Book& b, std::uint32_t host, simnet::Machine node, Tenths sent) {
+    constexpr Tenths allowed = 1000;
+    if (b.left_at == 0 || sent <= b.left_at + allowed + margin) return;
+    if (hosts_[host].mute || !machine_reached(machine_of_host(host), b.left_at, agenda_.now()) ||
+        !machine_reached(node, b.left_at, agenda_.now()))
+        return;  // when its first byte was sent is not known
+    broke("late_attempt", named(b.asked.tunnel) + " went to host " + std::to_string(host) + " " +
+                              std::to_string((sent - b.left_at) / 10) + " ms after its client had left");
+}
+
 void Rules::judge_effect(const Book& b, std::uint32_t host, Tenths sent) {
     const stand::Profile& p = profile(b);
     if (p.effect == stand::Effect::repeatable) return;
@@ -382,6 +408,7 @@
                 network_.is_open(s.end.other()) && machine_reached(node, s.sent, agenda_.now()))
                 broke("at_once", named(tunnel) + " is set up at host " + std::to_string(host) + " while " +
                                      std::to_string(s.host) + " still has it");
+        judge_late_attempt(b, host, node, first);
         judge_effect(b, host, first);
         const Tenths since = nodes_[node].not_in_service[host];
         if (since != 0 && first > since + drain_grace + margin && undisturbed(node, since, agenda_.now()))
@@ -389,7 +416,9 @@
                                std::to_string((first - since) / 10) + " ms after its node was told");
     }
     b.setups.push_back({host, end, first});
-    ledger_.setup_came(host, first - agenda_.dawn(), mid_flow, budget_ ? budget_(host) : 0);
+    // Whoever has not been told of its start takes it for warm.
+    const bool told = nodes_[node].told_at[host] > hosts_[host].started_at;
+    ledger_.setup_came(host, first - agenda_.dawn(), mid_flow, budget_ ? budget_(host) : 0, told);
     setups_came_.emplace_back(node, first);
 }
 
@@ -463,6 +492,7 @@
 
 void Rules::told(std::uint32_t node, std::uint32_t host, bool in_service) {
     if (node >= nodes_.size()) return;
+    nodes_[node].told_at[host] = agenda_.now();
     Tenths& since = nodes_[node].not_in_service[host];
     if (since == 0 && !in_service)
         for (const Book& b : books_)
--- a/src/lab/rules.h
+++ b/src/lab/rules.h
@@ -44,6 +44,8 @@
     // Whether a node ran, was not held up, and could be reached, all through a span.
     bool undisturbed(std::uint32_t node, Tenths from, Tenths until) const;
     void machine_cut(simnet::Machine machine, bool on);
+    // Its process has started and counts as cold from now on.
+    void host_started(std::uint32_t host) { hosts_[host].started_at = agenda_.now(); }
     void host_answers_nothing(std::uint32_t host, bool on) { hosts_[host].mute = on; }
     void broke(std::string rule, std::string what);
 
@@ -96,7 +98,7 @@
     struct Book {
         State state = State::unknown;
         stand::Asked asked;
-        Tenths asked_at = 0, taken_at = 0, opened_at = 0, host_ended_at = 0;
+        Tenths asked_at = 0, taken_at = 0, opened_at = 0, host_ended_at = 0, left_at = 0;
         std::uint32_t holder = 0;
         std::size_t attempt = 0;  // the last, in attempts_
         Tenths changed_at = 0;
@@ -117,9 +119,11 @@
         std::vector<Life> lives;
         std::vector<std::pair<Tenths, Tenths>> stalls;
         Tenths drained_since = 0;            // 0: it is not
+        std::vector<Tenths> told_at;  // by host: when it was last told of it; 0: not yet
         std::vector<Tenths> not_in_service;  // by host: since when it is told so; 0: it is in service
     };
     struct Host {
+        Tenths started_at = 0;
         bool mute = false;
     };
     Book& book(stand::TunnelNo tunnel);
@@ -131,6 +135,7 @@
     const Life* life_at(std::uint32_t node, Tenths when) const;
     simnet::Machine machine_of_host(std::uint32_t host) const { return day_.nodes + host; }
     const stand::Profile& profile(const Book& b) const { return town_->profiles[b.asked.profile]; }
+    void judge_late_attempt(const Book& b, std::uint32_t host, simnet::Machine node, Tenths sent);
     void judge_effect(const Book& b, std::uint32_t host, Tenths sent);
     // Whether what nodes tell one another came to them, all through the day.
     bool told_surely() const;
--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -42,7 +42,7 @@
     rules_.ask_budget([this](std::uint32_t h) {
         const stand::ChatHost& host = *hosts_[h];
         const Tenths fills = std::min(day_.host.cold, day_.least_life + day_.more_life);
-        if (!host.is_cold() || mean_load_ <= 0 || fills <= 0) return 0.0;
+        if (!host.is_cold() || !host.runs() || mean_load_ <= 0 || fills <= 0) return 0.0;
         return host.bears() / mean_load_ * static_cast<double>(day_.host.fall) / static_cast<double>(fills);
     });
     double cores = 0;
@@ -319,6 +319,7 @@
             return host->hang(false);
         case K::host_kill:
             host->start(true);
+            rules_.host_started(f.who);
             return tell(f.who, Phase::in_service);
         case K::host_vanish:
             ground_.forget(host->machine());
@@ -326,6 +327,7 @@
             ground_.cut_off(host->machine(), false);
             rules_.machine_cut(host->machine(), false);
             host->start(true);
+            rules_.host_started(f.who);
             return tell(f.who, Phase::in_service);
         case K::discovery_down:
             return rosters_.back()->down(false);
@@ -365,6 +367,7 @@
         return true;
     }
     host.start(true);
+    rules_.host_started(f.who);
     tell(f.who, Phase::in_service);
     return false;
 }
--- a/src/rig/field.h
+++ b/src/rig/field.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
 struct Wish {
     std::string program;     // the node's
     std::string log_folder;  // empty: their logs are thrown away
+    // What one life of a process finds in its environment beside its configuration; empty: nothing.
+    std::function<std::vector<std::string>(std::uint32_t node, std::uint32_t life)> environment;
 };
 
 struct HostRow {
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -64,7 +64,7 @@
     int worst = kept;
     for (std::uint64_t seed = seeds.first; seed <= seeds.last && !stop; ++seed) {
         day.seed = seed;
-        const rig::Outcome o = rig::play(day, {wish.program, wish.logs}, stop);
+        const rig::Outcome o = rig::play(day, {wish.program, wish.logs, {}}, stop);
         if (o.interrupted) return too_busy;
         if (json.is_open()) json << rig::json_of(o) << std::flush;
         tell(wish, o);
--- a/src/rig/process.cpp
+++ b/src/rig/process.cpp
@@ -39,7 +39,7 @@
 }  // namespace
 
 Process::Process(const std::string& program, const std::string& name, const std::string& configuration,
-                 const std::string& log_folder) {
+                 const std::string& log_folder, const std::vector<std::string>& more) {
     file_ = net::Fd(::memfd_create(name.c_str(), MFD_CLOEXEC));
     if (!file_.open()) fail("memfd_create");
     configure(configuration);
@@ -47,7 +47,9 @@
     const net::Fd log(::open(log_name.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644));
     if (!log.open()) fail("the node's log");
     std::string file = "NODE_CONFIG=/proc/self/fd/" + std::to_string(file_at), named = "NODE_NAME=" + name;
-    std::vector<char*> environment{file.data(), named.data(), nullptr};
+    std::vector<char*> environment{file.data(), named.data()};
+    for (const std::string& one : more) environment.push_back(const_cast<char*>(one.c_str()));
+    environment.push_back(nullptr);
     const pid_t parent = ::getpid();
     pid_ = ::fork();
     if (pid_ < 0) fail("fork");
--- a/src/rig/process.h
+++ b/src/rig/process.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "net/fd.h"
 
@@ -13,9 +14,10 @@
 
 class Process {
   public:
+    // `environment`: "NAME=value", beside what tells it its configuration.
     // Throws std::system_error where it cannot be started. No log folder: what it says is thrown away.
     Process(const std::string& program, const std::string& name, const std::string& configuration,
-            const std::string& log_folder);
+            const std::string& log_folder, const std::vector<std::string>& environment = {});
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
     ~Process();
--- /dev/null
+++ b/src/soak/main.cpp
@@ -0,0 +1,158 @@
+// lemonstair_soak: many real processes on the loopback, two or three troubles that overlap in time, a shim in
+// each process that lets calls, files and clocks fail; judged by the rules from the wire and by the processes'
+// own checks. Each seed is a day; the same seed draws the same day.
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "account/violations.h"
+#include "lab/runner.h"
+#include "rig/field.h"
+#include "soak/soak_day.h"
+
+namespace {
+
+namespace lab = lemonstair::lab;
+namespace rig = lemonstair::rig;
+namespace soak = lemonstair::soak;
+
+constexpr int kept = 0, broken = 1, wrong_use = 2, too_busy = 3;
+
+volatile bool stop = false;
+
+struct Options {
+    std::string seeds, program, shim, json, keep;
+    std::uint32_t nodes = 0;
+    std::size_t show = 6;
+    bool plain = false;
+};
+
+// Where the logs of one day are; gone with it, unless they are to be kept.
+class LogFolder {
+  public:
+    LogFolder() {
+        std::string pattern = (std::filesystem::temp_directory_path() / "lemonstair-soak-XXXXXX").string();
+        if (::mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no folder for the logs");
+        path_ = pattern;
+    }
+    LogFolder(const LogFolder&) = delete;
+    LogFolder& operator=(const LogFolder&) = delete;
+    ~LogFolder() {
+        std::error_code ignored;
+        std::filesystem::remove_all(path_, ignored);
+    }
+    const std::filesystem::path& path() const { return path_; }
+    // Lines that tell a violation that a process found itself.
+    std::vector<std::string> violations() const {
+        std::vector<std::string> found;
+        for (const auto& entry : std::filesystem::directory_iterator(path_)) {
+            std::ifstream log(entry.path());
+            for (std::string line; std::getline(log, line);)
+                if (line.find(lemonstair::account::violation_mark) != std::string::npos)
+                    found.push_back(entry.path().stem().string() + " " + line);
+        }
+        return found;
+    }
+    void keep_in(const std::string& folder, std::uint64_t seed) const {
+        const auto to = std::filesystem::path(folder) / ("seed-" + std::to_string(seed));
+        std::filesystem::create_directories(to);
+        std::filesystem::copy(path_, to, std::filesystem::copy_options::overwrite_existing);
+    }
+
+  private:
+    std::filesystem::path path_;
+};
+
+rig::Outcome play(const Options& options, std::uint64_t seed) {
+    const lab::Day day = soak::draw_soak_day(seed, options.nodes);
+    const LogFolder logs;
+    rig::Wish wish{options.program, logs.path().string(), {}};
+    wish.environment = [&](std::uint32_t node, std::uint32_t life) {
+        std::vector<std::string> more{"LEMONSTAIR_LOG=debug"};
+        if (options.plain) return more;
+        more.push_back("LD_PRELOAD=" + options.shim);
+        more.push_back(std::string(soak::plan_variable) + "=" +
+                       soak::write_plan(soak::draw_plan(seed, node, life)));
+        more.push_back("ASAN_OPTIONS=verify_asan_link_order=0");
+        return more;
+    };
+    rig::Outcome outcome = rig::play(day, wish, stop);
+    for (const std::string& line : logs.violations()) outcome.broken.push_back({0, "self_check", line});
+    if (!outcome.broken.empty() && !options.keep.empty()) logs.keep_in(options.keep, seed);
+    return outcome;
+}
+
+void tell(const Options& options, std::uint64_t seed, const rig::Outcome& outcome) {
+    const lab::Day day = soak::draw_soak_day(seed, options.nodes);
+    std::cout << "seed " << seed << ": " << outcome.nodes << " processes, taken " << outcome.tally.taken
+              << ", opened " << outcome.tally.opened << ", declined " << outcome.tally.declined
+              << ", closed with error " << outcome.tally.failed << "; " << outcome.broken.size() << " broken"
+              << (outcome.can_tell() ? "" : " (machine too busy)") << '\n';
+    if (outcome.broken.empty()) return;
+    std::cout << "  faults:";
+    for (const lab::Fault& fault : day.faults)
+        std::cout << ' ' << lab::row_of(fault.kind).name << '@' << static_cast<double>(fault.at) / 10000;
+    std::cout << "\n  first process: " << soak::write_plan(soak::draw_plan(seed, 0, 1)) << '\n';
+    for (std::size_t i = 0; i < std::min(options.show, outcome.broken.size()); ++i)
+        std::cout << "  " << static_cast<double>(outcome.broken[i].at) / 10000 << " s  "
+                  << outcome.broken[i].rule << ": " << outcome.broken[i].what << '\n';
+}
+
+int run(const Options& options) {
+    const lab::Seeds seeds = lab::parse_seeds(options.seeds);
+    std::ofstream json;
+    if (!options.json.empty()) json.open(options.json, std::ios::app);
+    std::map<std::string, int> seeds_of_rule;
+    int days = 0, days_broken = 0, days_untold = 0;
+    for (std::uint64_t seed = seeds.first; seed <= seeds.last && !stop; ++seed) {
+        const rig::Outcome outcome = play(options, seed);
+        if (outcome.interrupted) break;
+        ++days;
+        if (json.is_open()) json << rig::json_of(outcome) << std::flush;
+        tell(options, seed, outcome);
+        std::cout << std::flush;
+        if (outcome.broken.empty()) continue;
+        ++(outcome.can_tell() ? days_broken : days_untold);
+        std::map<std::string, int> rules;
+        for (const lab::Broken& one : outcome.broken) rules[one.rule] = 1;
+        for (const auto& [rule, one] : rules) seeds_of_rule[rule] += one;
+    }
+    std::cout << days << " days, " << days_broken << " with a broken rule, " << days_untold
+              << " more on which the machine was too busy to tell\n";
+    for (const auto& [rule, count] : seeds_of_rule) std::cout << "  " << rule << " on " << count << '\n';
+    return days_broken > 0 ? broken : days_untold > 0 ? too_busy : kept;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"Plays randomized days of overlapping troubles on many real processes."};
+    app.footer("Exit status: 0 all rules kept; 1 a rule broken; 2 wrong use; 3 the machine was too busy to tell.");
+    Options options;
+    app.add_option("--seeds", options.seeds, "one seed or a range, as 1..20")->required();
+    app.add_option("--program", options.program, "the node's program")->required()->check(CLI::ExistingFile);
+    app.add_option("--shim", options.shim, "the fault shim")->required()->check(CLI::ExistingFile);
+    app.add_option("--nodes", options.nodes, "so many processes instead of 10 to 40 by the seed")
+        ->check(CLI::Range(1U, 200U));
+    app.add_option("--json", options.json, "a line of JSON for each day, added to this file");
+    app.add_option("--keep", options.keep, "the logs of days with a broken rule into this folder");
+    app.add_option("--show", options.show, "how many broken rules to tell of each day");
+    app.add_flag("--plain", options.plain, "without the shim: the troubles alone");
+    std::signal(SIGPIPE, SIG_IGN);
+    for (const int number : {SIGINT, SIGTERM, SIGHUP}) std::signal(number, [](int) { stop = true; });
+    try {
+        app.parse(argc, argv);
+        return run(options);
+    } catch (const CLI::ParseError& e) {
+        return app.exit(e) == 0 ? kept : wrong_use;
+    } catch (const std::exception& e) {
+        std::cerr << "lemonstair_soak: " << e.what() << '\n';
+        return wrong_use;
+    }
+}
--- /dev/null
+++ b/src/soak/soak_day.h
@@ -0,0 +1,18 @@
+// Soak days: a day of overlapping troubles, drawn from a seed, for many real processes; and what the fault
+// shim does to each process on it. The same seed draws the same day.
+#pragma once
+
+#include <cstdint>
+
+#include "lab/day.h"
+#include "soak/fault_plan.h"
+
+namespace lemonstair::soak {
+
+// `nodes`: so many processes; 0: drawn.
+lab::Day draw_soak_day(std::uint64_t seed, std::uint32_t nodes);
+
+// Of one life of one process.
+FaultPlan draw_plan(std::uint64_t seed, std::uint32_t node, std::uint32_t life);
+
+}  // namespace lemonstair::soak
