--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -62,7 +62,8 @@
     void keep_in(const std::string& folder, std::uint64_t seed) const {
         const auto to = std::filesystem::path(folder) / ("seed-" + std::to_string(seed));
         std::filesystem::create_directories(to);
-        std::filesystem::copy(path_, to, std::filesystem::copy_options::overwrite_existing);
+        using std::filesystem::copy_options;
+        std::filesystem::copy(path_, to, copy_options::overwrite_existing | copy_options::recursive);
     }
 
   private:
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -205,7 +206,27 @@
     bool shared = false;
     std::function<void()> after_poll;  // once: what it does is behind the back of the pass
     std::size_t cut_lines_at = 0;      // of an OPEN line the system takes so many bytes at first
+    // The next so many calls fail with this error.
+    struct Failing {
+        int calls = 0, error = 0;
+        bool strikes() {
+            if (calls == 0) return false;
+            --calls;
+            errno = error;
+            return true;
+        }
+    };
+    Failing polls, accepts, connects;
+    std::function<int(int fd)> connection_error;  // in place of what became of a connection
+    Tenths clock_ahead = 0;
+    Tenths now() override { return Kernel::now() + clock_ahead; }
+    net::Fd accept(int listener) override { return accepts.strikes() ? net::Fd() : Kernel::accept(listener); }
+    net::Fd connect_to(const net::Address& to) override {
+        return connects.strikes() ? net::Fd() : Kernel::connect_to(to);
+    }
+    int connected(int fd) override { return connection_error ? connection_error(fd) : Kernel::connected(fd); }
     int poll(std::span<pollfd> set, Tenths longest) override {
+        if (!set.empty() && polls.strikes()) return -1;
         const int n = Kernel::poll(set, shared ? std::min<Tenths>(longest, 10) : longest);
         if (after_poll) std::exchange(after_poll, nullptr)();
         return n;
@@ -239,6 +260,7 @@
     std::unique_ptr<node::Node> node, next;  // next: a new version, started beside it
     bool runs = true, next_runs = false;
     int lines = 0;
+    int unreadable = 0;  // so many times the configuration cannot be read again
 
     Town() : Town(Terms{}) {}
     explicit Town(const Terms& t) : drain(t.log), log(log::Level::error, drain) {
@@ -275,6 +297,7 @@
     }
     std::unique_ptr<node::Node> start() {
         return std::make_unique<node::Node>(kernel, launch(), file.root().inner("known"), log, [this] {
+            if (unreadable > 0 && unreadable-- > 0) throw json::Malformed("cannot be read");
             if (!file.parse(text)) throw json::Malformed("not JSON");
             return config::read_launch(file.root());
         });
