A call that fails for a moment ends neither the node, a connection nor a reload

Cause: Loop::wait threw on every error of poll but EINTR and EAGAIN (ENOMEM ended the process with its tunnels); the errors ENOBUFS and ENOMEM of send and recv were taken for the end of the connection, so that a client was closed unread or unanswered; Node::renew read the file once, and where that failed the node stayed at the old discovery for good; TakeIn::tunnel_due dropped a client whose line had come since the last pass. Change: a poll without memory is a pass without events; ENOBUFS and ENOMEM mean 'not now'; a configuration is read again every 0.25 s for 2.5 s; the wait for a first line looks once more and then says BUSY before it ends, which is true for whatever is on its way (one that asked PING is only ended in order).

--- a/src/net/kernel.cpp
+++ b/src/net/kernel.cpp
@@ -32,7 +32,10 @@
     return fd;
 }
 
-bool not_now(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
+// Errors that say nothing of the connection: the call is made again when the system is ready.
+bool not_now(int error) {
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ENOBUFS || error == ENOMEM;
+}
 
 Transfer received(ssize_t n) {
     if (n > 0) return {.bytes = static_cast<std::size_t>(n)};
@@ -289,6 +292,7 @@
     into.resize(static_cast<std::size_t>(is.st_size));
     for (std::size_t at = 0; at < into.size();) {
         const ssize_t n = ::read(fd.get(), into.data() + at, into.size() - at);
+        if (n < 0 && errno == EINTR) continue;
         if (n < 0) return "cannot be read";
         if (n == 0) into.resize(at);
         at += static_cast<std::size_t>(n);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,6 +6,12 @@
 
 namespace lemonstair::net {
 
+namespace {
+
+constexpr Tenths rest_after_failure = 10;
+
+}  // namespace
+
 std::uint32_t Loop::add(int fd, short events, Waiter& waiter, std::uint64_t token, Turn turn) {
     if (free_.empty()) {
         free_.push_back(static_cast<std::uint32_t>(polled_.size()));
@@ -35,8 +41,7 @@
     first_.clear();
     happened_.clear();
     const int n = system_.poll(polled_, span);
-    if (n < 0 && errno != EINTR && errno != EAGAIN)
-        throw std::system_error(errno, std::generic_category(), "poll");
+    if (n < 0) poll_failed(errno);
     for (std::uint32_t slot = 0, left = n > 0 ? static_cast<std::uint32_t>(n) : 0;
          left > 0 && slot < polled_.size(); ++slot) {
         if (polled_[slot].revents == 0) continue;
@@ -54,6 +59,14 @@
     }
 }
 
+// Guards against an end of the process, with tunnels open, for want of memory that is over in a moment. Timers
+// go on meanwhile, and a short rest keeps the loop from spinning.
+void Loop::poll_failed(int error) {
+    if (error == EINTR) return;
+    if (error != ENOMEM && error != EAGAIN) throw std::system_error(error, std::generic_category(), "poll");
+    static_cast<void>(system_.poll({}, rest_after_failure));
+}
+
 void Socket::reset() {
     if (!open()) return;
     loop_->system().will_reset(fd_.get());
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -96,6 +96,7 @@
         }
     };
     void wait();
+    void poll_failed(int error);
     void tick() { now_ = system_.now(); }
 
     System& system_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,7 +16,10 @@
 
 constexpr Tenths look_over_every = 2500, tally_every = 100000, costs_every = 10000;
 
-enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer, costs_timer, empty_timer };
+// After SIGHUP the new discovery counts as heard 4 s later: its call needs a part of that.
+constexpr Tenths renew_pause = 2500, renew_for = 25000;
+
+enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer, costs_timer, empty_timer, renew_timer };
 
 // Opens what listens at a configured address; a fault names the key.
 template <class Open>
@@ -273,21 +276,39 @@
     if (phase_ == Phase::serving || phase_ == Phase::drained) go(Phase::leaving);
 }
 
-// Guards against a new configuration that is faulty, or was caught half written: the old one stays. Discovery
-// that has moved is called at once, whatever failures the old one had, and what it says first is new; until
-// then the last list stands.
+// Guards against a new configuration that is faulty: the old one stays.
 void Node::renew() {
     if (phase_ == Phase::starting) {
         renew_at_begin_ = true;
         return;
     }
+    renew_at_ = 0;
+    renew_until_ = loop_.now() + renew_for;
+    if (!read_again()) renew_later();
+}
+
+// Guards against a file that cannot be read in just this moment, or is half written: what it tells is due soon.
+void Node::renew_later() {
+    renew_at_ = loop_.now() + renew_pause;
+    if (renew_at_ <= renew_until_) loop_.at(renew_at_, *this, renew_timer);
+}
+
+// False where the file cannot be taken.
+bool Node::read_again() {
     std::string kept;
     try {
         kept = config::renew(launch_, reread_());
     } catch (const json::Malformed& e) {
         log_.error() << "new configuration not taken: " << e.what();
-        return;
+        return false;
     }
+    take_renewed(kept);
+    return true;
+}
+
+// Discovery that has moved is called at once, whatever failures the old one had, and what it says first is new;
+// until then the last list stands.
+void Node::take_renewed(const std::string& kept) {
     if (!kept.empty()) log_.error() << "not changed before the next start: " << kept;
     stages_.floor.mind().retold(launch_.terms);
     const bool moved = watch_.move_to(launch_.discovery);
@@ -304,6 +325,12 @@
     if (token == look_over_timer) return look_over();
     if (token == costs_timer) return tell_costs();
     if (token == empty_timer) return empty_out();
+    if (token == renew_timer) {
+        if (renew_at_ == 0 || loop_.now() < renew_at_) return;  // a later SIGHUP has its own tries
+        renew_at_ = 0;
+        if (!read_again()) renew_later();
+        return;
+    }
     if (token == list_timer) {
         if (handover::answers(succession_.stand())) watch_.open(hosts_.revision());
         return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -63,6 +63,9 @@
     void empty_out();
     void move_all();
     void renew();
+    void renew_later();
+    bool read_again();
+    void take_renewed(const std::string& kept);
     void leave();
 
     bool list_heard(const json::Value& list) override;
@@ -113,6 +116,7 @@
     Tenths emptying_since_ = 0, empty_at_ = 0;  // drained or leaving; when it is looked after next
     backoff::Backoff backoff_;  // of the watch, where it comes back by itself
     bool renew_at_begin_ = false;
+    Tenths renew_at_ = 0, renew_until_ = 0;  // the next try of a new configuration, and the last
 };
 
 }  // namespace lemonstair::node
--- a/src/tunnel/book.cpp
+++ b/src/tunnel/book.cpp
@@ -39,6 +39,12 @@
     answer(id, "ERR\r\n");
 }
 
+void Book::send_away(Id id) {
+    Tunnel& t = *floor_.find(id);
+    if (t.pings == 0) return say_last(id, "BUSY\r\n");
+    part(id);
+}
+
 void Book::answer(Id id, std::string_view line) {
     floor_.find(id)->host.close();
     say_last(id, line);
--- a/src/tunnel/book.h
+++ b/src/tunnel/book.h
@@ -13,6 +13,8 @@
     // Final answers to a client that waits.
     void decline(Id id, Tenths come_back_after);
     void close_with_error(Id id);
+    // The client has not sent a whole first line in its time. Whoever asked PING hears nothing more.
+    void send_away(Id id);
     // The client went away while it waited.
     void client_left(Id id);
     // The client does what no client may while it waits.
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -119,6 +119,15 @@
     if (t.opening.empty()) t.opening.give_back();
 }
 
+// What has come since the last pass still counts; who has said nothing whole by now is sent away with an answer
+// that is true for whatever is on its way.
+void TakeIn::tunnel_due(Id id) {
+    if (floor_.loop.now() < floor_.find(id)->due) return;
+    tunnel_ready(id, Side::client, POLLIN);
+    const Tunnel* t = floor_.find(id);
+    if (t != nullptr && t->state == State::taking_in) book_.send_away(id);
+}
+
 // False once the tunnel is in other hands.
 bool TakeIn::line(Id id, std::string_view text) {
     Tunnel& t = *floor_.find(id);
--- a/src/tunnel/take_in.h
+++ b/src/tunnel/take_in.h
@@ -23,7 +23,7 @@
     void due(std::uint64_t token) override;
     // The connection of a client that has not sent its first line yet.
     void tunnel_ready(Id id, Side side, short events);
-    void tunnel_due(Id id) { book_.drop(id); }
+    void tunnel_due(Id id);
 
   private:
     void listen_on(net::Fd listener);
