One question before each first byte, before each exit and before an endpoint is blamed

The process exits only where the system said that the listener's queue is empty, until its time to leave is up. accept goes on after ECONNABORTED, EINTR and EPROTO, and rests on what it does not know. Time-outs shorter than half a setup goal judge nobody.

--- a/src/balance/attempt_policy.h
+++ b/src/balance/attempt_policy.h
@@ -44,6 +44,9 @@
 // Whether a further attempt may be chosen after one that ended so.
 Reason may_repeat(const Allowance& allowance, const History& history, Ending last, Tenths now);
 
+// An endpoint that was given less than this before its time was up is not judged by it.
+constexpr Tenths fair_wait(Tenths setup_goal) { return setup_goal / 2; }
+
 // Whether the line of an attempt that was chosen may still be written.
 Reason may_write(const Allowance& allowance, const History& before, const EndpointPhase& endpoint,
                   Tenths drain_grace, Tenths now, Tenths reserve = longest_hold_up);
--- a/src/balance/balance.cpp
+++ b/src/balance/balance.cpp
@@ -868,15 +868,18 @@
         ++opened_lately, ++ended_lately, ++stood_lately;
         go(at, State::standing);
     }
-    void ended(std::uint64_t id, int setup, std::uint32_t, Ending ending, Tenths, bool settled) override {
+    void ended(std::uint64_t id, int setup, std::uint32_t, Ending ending, Tenths took,
+               bool settled) override {
         const peer::Delivery delivery(outbox);
         const std::uint32_t at = tun_index.find(id);
         if (at == none || setup + 1 != tuns[at].setups) return;
         Tun& t = tuns[at];
         if (t.state == State::setting_up) {
-            judged(eps[t.ep], ending);
+            const Tenths fair = attempt_policy::fair_wait(terms.profiles[t.profile].setup_goal);
+            const bool too_short = ending == Ending::timed_out && took < fair;
+            if (!too_short) judged(eps[t.ep], ending);
             // These did not get as far as a jam.
-            if (ending != Ending::unreachable && ending != Ending::withdrawn) ++ended_lately;
+            if (ending != Ending::unreachable && ending != Ending::withdrawn && !too_short) ++ended_lately;
             if (ending == Ending::ok) ++opened_lately;
         }
         if (t.state == State::standing && ending == Ending::ok) ++ends;
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -35,6 +35,8 @@
     return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
 }
 
+bool one_call_only(int error) { return error == ECONNABORTED || error == EINTR || error == EPROTO; }
+
 bool own_want(int error) { return none_left(error) || error == EADDRNOTAVAIL || error == EAGAIN; }
 
 }  // namespace lemonstair::net
--- a/src/net/transfer.h
+++ b/src/net/transfer.h
@@ -31,6 +31,8 @@
 // Errors that say that the system has no descriptor or memory left, and those that, like them, keep a
 // connection from being tried at all: neither tells anything of the other side.
 bool none_left(int error);
+// Errors of accept that end one call and tell nothing of the next.
+bool one_call_only(int error);
 bool own_want(int error);
 
 }  // namespace lemonstair::net
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -284,7 +284,7 @@
     }
     renew_at_ = 0;
     renew_until_ = loop_.now() + renew_for;
-    if (!read_again()) renew_later();
+    if (!read_again(true)) renew_later();
 }
 
 // Guards against a file that cannot be read in just this moment, or is half written: what it tells is due soon.
@@ -294,12 +294,13 @@
 }
 
 // False where the file cannot be taken.
-bool Node::read_again() {
+bool Node::read_again(bool first_try) {
     std::string kept;
     try {
         kept = config::renew(launch_, reread_());
     } catch (const json::Malformed& e) {
-        log_.error() << "new configuration not taken: " << e.what();
+        if (first_try) log_.error() << "new configuration not taken: " << e.what();
+        log_.debug() << "the configuration is read again in a moment: " << e.what();
         return false;
     }
     take_renewed(kept);
@@ -328,7 +329,7 @@
     if (token == renew_timer) {
         if (renew_at_ == 0 || loop_.now() < renew_at_) return;  // a later SIGHUP has its own tries
         renew_at_ = 0;
-        if (!read_again()) renew_later();
+        if (!read_again(false)) renew_later();
         return;
     }
     if (token == list_timer) {
@@ -369,7 +370,7 @@
     const bool handed = handover::hands_over(succession_.stand());
     const auto& floor = stages_.floor;
     if (phase_ == Phase::leaving && (handed ? floor.in_hand : floor.admitted + floor.departing) == 0 &&
-        !stages_.take_in.owes())
+        may_leave())
         return go(Phase::left);
     // Its clients go over to the new version, and notice nothing.
     if (handed) return;
@@ -377,6 +378,15 @@
     if (!launch_.terms.packets_pass) move_all();
 }
 
+// Who could not be accepted in its last moments would keep the node for ever.
+bool Node::may_leave() {
+    const Reason reason = attempt_policy::may_exit(stages_.take_in.debts());
+    if (reason != Reason::allowed)
+        log_.debug() << launch_.name << ": does not leave yet, " << lemonstair::name_of(reason);
+    const bool too_late = loop_.now() >= stages_.floor.over_by;
+    return reason == Reason::allowed || (reason == Reason::queue_unread && too_late);
+}
+
 // Spread, so that not all clients come again at once, and over well before the end.
 void Node::move_all() {
     auto& floor = stages_.floor;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -61,10 +61,11 @@
     void tell_list(ListKind kind);  // without entries
     void floor_empties();
     void empty_out();
+    bool may_leave();
     void move_all();
     void renew();
     void renew_later();
-    bool read_again();
+    bool read_again(bool first_try);
     void take_renewed(const std::string& kept);
     void leave();
 
--- a/src/tunnel/send.cpp
+++ b/src/tunnel/send.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cerrno>
 
+#include "balance/attempt_policy.h"
 #include "net/lines.h"
 #include "net/transfer.h"
 #include "tunnel/opening.h"
@@ -31,6 +32,7 @@
     t.place = place;
     ++t.setups;
     t.setup_from = floor_.loop.now();
+    if (floor_.client_is_gone(t)) return book_.client_left(id);
     t.setup_until = longest_wait > 0 ? std::min(t.give_up_at, t.setup_from + longest_wait) : t.give_up_at;
     connect(id);
 }
@@ -78,6 +80,7 @@
     }
     if (t.state == State::connecting) {
         if (t.host.connected() != 0) return failed(id, Ending::unreachable);
+        if (!may_write(id)) return;
         floor_.go(id, State::sending_line);
         // For the host: how long this node will still wait.
         t.up.waiting = floor_.pool.take();
@@ -89,6 +92,22 @@
     if (t.state == State::awaiting_answer) return read_answer(id);
 }
 
+// Asked in the instant before the first byte, by the clock of just now: the connection may have taken long to come
+// up, or the process been held up. False where the attempt is withdrawn, or its client has left.
+bool Send::may_write(Id id) {
+    const Tunnel& t = *floor_.find(id);
+    if (floor_.client_is_gone(t)) return book_.client_left(id), false;
+    if (!t.known) return true;
+    floor_.balancer->at(floor_.loop.refresh());
+    const Reason reason = floor_.balancer->may_write(id, attempt_policy::longest_hold_up);
+    if (reason == Reason::allowed) return true;
+    floor_.costs.explained(reason);
+    floor_.log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << " setup " << t.setups
+                       << " is withdrawn: " << name_of(reason);
+    failed(id, Ending::withdrawn);
+    return false;
+}
+
 // Until its last byte is with the system the line cannot have run; from then on it may have.
 void Send::write_line(Id id) {
     Tunnel& t = *floor_.find(id);
@@ -205,7 +224,12 @@
         floor_.log.error() << "a tunnel that stood before the start was not taken by its host";
         return book_.close_with_error(id);
     }
-    failed(id, t.state == State::awaiting_answer ? Ending::timed_out : Ending::unreachable);
+    if (t.state == State::awaiting_answer) return failed(id, Ending::timed_out);
+    // Guards against blame for an endpoint that had no time to answer, since its client had next to none.
+    const Tenths fair = std::min(floor_.launch.connect_timeout,
+                                 attempt_policy::fair_wait(floor_.launch.terms.profiles[t.profile].setup_goal));
+    const bool had_time = floor_.loop.now() - t.setup_from >= fair;
+    failed(id, had_time ? Ending::unreachable : Ending::withdrawn);
 }
 
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/send.h
+++ b/src/tunnel/send.h
@@ -23,6 +23,7 @@
 
   private:
     void connect(Id id);
+    bool may_write(Id id);
     void write_line(Id id);
     void check_written(Id id);
     void read_answer(Id id);
--- a/src/tunnel/take_in.cpp
+++ b/src/tunnel/take_in.cpp
@@ -39,7 +39,8 @@
 
 void TakeIn::wait() { listener_.wait_for(open_ && !resting_ ? POLLIN : 0); }
 
-void TakeIn::ready(std::uint64_t, short) {
+// True where the system said that no client waits; false where some may, whatever kept them from being accepted.
+bool TakeIn::accept_waiting() {
     for (int i = 0; i < accepts_a_pass && open_; ++i) {
         // Each pass of the loop costs as much as there are connections: the silent have a part of them.
         const bool crowded = floor_.taking_in() > floor_.launch.sockets / 4;
@@ -47,15 +48,19 @@
         if ((crowded || floor_.down_to(Floor::fewest_left)) && !book_.make_room() &&
             floor_.down_to(Floor::fewest_left))
             at_door = true;
-        if (at_door && floor_.at_door >= most_at_door) return rest();
+        if (at_door && floor_.at_door >= most_at_door) return rest(), false;
         // Of what two processes are granted together the system knows nothing.
-        if (floor_.elsewhere > 0 && floor_.down_to(Floor::outside_loop)) return rest();
+        if (floor_.elsewhere > 0 && floor_.down_to(Floor::outside_loop)) return rest(), false;
         net::Fd fd = listener_.accept();
         if (!fd.open()) {
-            if (!net::none_left(errno) || book_.make_room()) return;
-            if (!floor_.give_up_spare()) return rest();
+            const int error = errno;
+            if (error == EAGAIN || error == EWOULDBLOCK) return true;
+            if (net::one_call_only(error)) continue;
+            if (!net::none_left(error)) return rest(), false;
+            if (book_.make_room()) continue;
+            if (!floor_.give_up_spare()) return rest(), false;
             fd = listener_.accept();
-            if (!fd.open()) return floor_.keep_spares(), rest();
+            if (!fd.open()) return floor_.keep_spares(), rest(), false;
             at_door = true;
         }
         const Id id = floor_.open(std::move(fd), at_door);
@@ -65,13 +70,20 @@
         tunnel_ready(id, Side::client,
                      POLLIN);  // mostly its line is here already: then it never counts as silent
     }
+    return !open_;
 }
 
 // Guards against an exit in the instant in which a client's line is in its socket, or in the listener's
 // queue.
-bool TakeIn::owes() {
-    if (open_) ready(0, POLLIN);
-    if (floor_.admitted + floor_.departing > 0) return true;
+attempt_policy::Debts TakeIn::debts() {
+    attempt_policy::Debts debts;
+    debts.listener_empty = accept_waiting();
+    debts.tunnels = floor_.admitted + floor_.departing;
+    debts.speaking_clients = any_speaks();
+    return debts;
+}
+
+bool TakeIn::any_speaks() const {
     for (std::uint32_t at = 0; at < floor_.tunnels.places(); ++at) {
         if (!floor_.tunnels.used(at) || floor_.tunnels[at].state != State::taking_in) continue;
         const Tunnel& t = floor_.tunnels[at];
--- a/src/tunnel/take_in.h
+++ b/src/tunnel/take_in.h
@@ -3,6 +3,7 @@
 
 #include <string_view>
 
+#include "balance/attempt_policy.h"
 #include "tunnel/admit.h"
 #include "tunnel/book.h"
 #include "tunnel/floor.h"
@@ -17,9 +18,9 @@
     void listen_on(int inherited) { listen_on(floor_.loop.system().inherited_listener(inherited)); }
     // Whether clients are accepted; they wait in the listener's queue else, for this process or another.
     void open(bool yes);
-    // Whether a client is here, or at the door, that has begun to speak.
-    bool owes();
-    void ready(std::uint64_t token, short events) override;
+    // What an exit in this pass would leave unanswered, in the listener's queue too.
+    attempt_policy::Debts debts();
+    void ready(std::uint64_t, short) override { static_cast<void>(accept_waiting()); }
     void due(std::uint64_t token) override;
     // The connection of a client that has not sent its first line yet.
     void tunnel_ready(Id id, Side side, short events);
@@ -27,6 +28,8 @@
 
   private:
     void listen_on(net::Fd listener);
+    bool accept_waiting();
+    bool any_speaks() const;
     void wait();
     void rest();
     bool take_name(Tunnel& t, std::string_view id, bool mid_flow);
