Three failing tests: cold hosts and hand-over under another wall clock, the kernel's own refusals

Evidence: with the node an hour or 5 s ahead of the list's clock a host that has just started got 10 of 30 tunnels, as a warm one, where 5 are allowed; an hour behind, it stayed cold for good (0 of 30 after its warm-up). A tunnel handed to a process an hour ahead was moved at once as silent for an hour; to one an hour behind, its silence was never noticed. 12 connections that ended with ENETUNREACH, EADDRNOTAVAIL or ENOBUFS put their host out of rotation.

--- a/tests/fake.h
+++ b/tests/fake.h
@@ -248,10 +248,11 @@
         bool inherits = false;      // the platform holds the clients' listener
         std::string timeout = "3";  // of clients, in s
         std::string grace = "3";    // of a drain, in s
+        std::string slow_start = "";  // further keys of the rules
     };
     Door a, b, discovery;
     std::string name = Door().name(), desk = Door().name();
-    Shared kernel;
+    Shared kernel, newer;  // newer: of a new version
     log::Descriptor drain;
     log::Log log;
     json::Document file;
@@ -264,7 +265,8 @@
     int unreadable = 0;  // so many times the configuration cannot be read again
 
     Town() : Town(Terms{}) {}
-    explicit Town(const Terms& t) : drain(t.log), log(log::Level::error, drain) {
+    explicit Town(const Terms& t, Tenths clock_ahead = 0) : drain(t.log), log(log::Level::error, drain) {
+        kernel.clock_ahead = clock_ahead;
         text = R"({"name":"n0","listen":")" + name + R"(","discovery":")" + discovery.name() +
                (t.operators ? R"(","admin_addr":")" + desk : "") + R"(","seed":"8c1f","limits":{"sockets":)" +
                std::to_string(t.sockets) + R"(},"known":{"revision":4,"complete":true,"members":[)" +
@@ -273,7 +275,7 @@
                R"("membership_mode":"push","domain":{"mode":")" + t.mode +
                R"("},"limits":{"max_setups":3,"connect_timeout":0.25,"probing":)" +
                (t.probing ? "true" : "false") +
-               R"(},"report":{"via":"probe","columns":["x0"]},"rules":{"stop_sending_within":)" + t.grace + R"(},)" +
+               R"(},"report":{"via":"probe","columns":["x0"]},"rules":{"stop_sending_within":)" + t.grace + t.slow_start + R"(},)" +
                R"("profiles":[{"name":"chat","setup_goal":0.3,"client_timeout":)" + t.timeout +
                R"(,"credit":1,)" + R"("effect":"read_like","stream":true}]}})";
         file.parse(text);
@@ -282,7 +284,7 @@
             std::array<char, 32> made{"/tmp/lemonstair-story-XXXXXX"};
             folder = ::mkdtemp(made.data());
         }
-        node = start();
+        node = start(kernel);
     }
     Town(const Town&) = delete;
     Town& operator=(const Town&) = delete;
@@ -296,8 +298,8 @@
         return config::read_launch(file.root(), {.inherited_fd = listener.open() ? fd.c_str() : nullptr,
                                                  .tmpdir = folder.empty() ? nullptr : folder.c_str()});
     }
-    std::unique_ptr<node::Node> start() {
-        return std::make_unique<node::Node>(kernel, launch(), file.root().inner("known"), log, [this] {
+    std::unique_ptr<node::Node> start(net::System& system) {
+        return std::make_unique<node::Node>(system, launch(), file.root().inner("known"), log, [this] {
             if (unreadable > 0 && unreadable-- > 0) throw json::Malformed("cannot be read");
             if (!file.parse(text)) throw json::Malformed("not JSON");
             return config::read_launch(file.root());
@@ -309,8 +311,8 @@
         if (const auto at = text.find(old_desk); at != std::string::npos)
             text.replace(at, old_desk.size(), desk);
         file.parse(text);
-        next = start();
-        next_runs = kernel.shared = true;
+        next = start(newer);
+        next_runs = kernel.shared = newer.shared = true;
     }
     // The new one is all that is left.
     void old_is_gone() {
--- a/tests/rare_faults.cpp
+++ b/tests/rare_faults.cpp
@@ -107,23 +107,33 @@
     }
 }
 
-TEST_CASE("nothing is written to an endpoint whose grace ended while the node was held up") {
-    Town town({.grace = "0.1"});
-    End watch;
-    REQUIRE(town.until([&] {
-        if (!watch.fd.open()) watch = town.discovery.accept();
-        return watch.fd.open() && watch.heard("\r\n\r\n");
-    }));
-    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    town.pass(20);
-    const auto tell = [&](const char* phase, int revision) {
-        const std::string list = R"({"revision":)" + std::to_string(revision) + R"(,"complete":true,"members":[)" +
-                                 Town::member("a", town.a, phase) + "," + Town::member("b", town.b, phase) +
-                                 "]}\n";
+// A watch that the node keeps, and lists on it.
+struct Watch {
+    explicit Watch(Town& town) : town_(town) {
+        REQUIRE(town.until([&] {
+            if (!end_.fd.open()) end_ = town.discovery.accept();
+            return end_.fd.open() && end_.heard("\r\n\r\n");
+        }));
+        end_.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        town.pass(20);
+    }
+    void tell(const std::string& members, bool complete) {
+        const std::string list = R"({"revision":)" + std::to_string(++revision_) + R"(,"complete":)" +
+                                 (complete ? "true" : "false") + R"(,"members":[)" + members + "]}\n";
         std::array<char, 16> size{};
         std::snprintf(size.data(), size.size(), "%zx\r\n", list.size());
-        watch.say(std::string(size.data()) + list + "\r\n");
-    };
+        end_.say(std::string(size.data()) + list + "\r\n");
+    }
+
+  private:
+    Town& town_;
+    End end_;
+    int revision_ = 5;
+};
+
+TEST_CASE("nothing is written to an endpoint whose grace ended while the node was held up") {
+    Town town({.grace = "0.1"});
+    Watch watch(town);
     End client = town.client(town.line());
     town.kernel.connection_error = [&](int fd) {
         stand_still(150);
@@ -136,8 +146,79 @@
             if (End e = d->accept(); e.fd.open()) hosts.push_back(std::move(e));
         return !hosts.empty();
     }));
-    tell("terminating", 6);
+    watch.tell(Town::member("a", town.a, "terminating") + "," + Town::member("b", town.b, "terminating"), true);
     town.pass(500);
     for (End& host : hosts) CHECK(!host.heard("OPEN"));
     CHECK(town.until([&] { return client.heard("\r\n"); }));
 }
+
+namespace {
+
+// Opens so many tunnels one after the other; says how many went to the first host.
+int opened_at_first(Town& town, int tunnels) {
+    int at_first = 0;
+    for (int i = 0; i < tunnels; ++i) {
+        const Door* at = nullptr;
+        End client = town.client(town.line()), host = town.setup(&at);
+        if (host.fd.open()) host.say("UP r\r\n");
+        town.until([&] { return client.heard("\r\n"); });
+        at_first += at == &town.a ? 1 : 0;
+    }
+    return at_first;
+}
+
+}  // namespace
+
+TEST_CASE("a host that has just started is cold, and only for its time, whatever the wall clock of the node is") {
+    constexpr Tenths hour = 3600 * s;
+    for (const Tenths ahead : {Tenths{0}, hour, -hour, 5 * s}) {
+        Town town({.slow_start = R"(,"cold":2,"cold_from":0.1,"fall":1.0,"tip_multiple":1)"}, ahead);
+        Watch watch(town);
+        const auto unix_now = std::chrono::system_clock::now().time_since_epoch();
+        const auto started = std::chrono::duration_cast<std::chrono::milliseconds>(unix_now).count();
+        std::string member = Town::member("a", town.a);
+        member.replace(member.find("\"up_since_ms\":0"), 15, "\"up_since_ms\":" + std::to_string(started));
+        watch.tell(member, false);
+        town.pass(30);
+        CHECK(opened_at_first(town, 30) <= 5);
+        town.pass(2600);
+        CHECK(opened_at_first(town, 30) >= 8);
+    }
+}
+
+TEST_CASE("a tunnel that goes over to a process with another wall clock is not taken for silent, nor forgotten") {
+    constexpr Tenths hour = 3600 * s;
+    for (const Tenths ahead : {hour, -hour}) {
+        Town town({.mode = "proxy", .operators = true, .inherits = true});
+        town.newer.clock_ahead = ahead;
+        auto [client, host] = town.opened();
+        client.say("hello\r\n");
+        REQUIRE(town.until([&] { return host.heard("hello\r\n"); }));
+        town.upgrade();
+        REQUIRE(town.until([&] { return town.get("/healthcheck").find(" 200 ") != std::string::npos; }));
+        const auto over = std::chrono::steady_clock::now();
+        town.pass(1500);
+        CHECK(!client.heard("MOVE"));
+        // It stays silent, and is moved within 7 s.
+        CHECK(town.until([&] { return client.heard("MOVE"); }, 7000));
+        CHECK(std::chrono::steady_clock::now() - over > 2s);
+    }
+}
+
+TEST_CASE("what the kernel of the node refuses for want of its own is held against no host") {
+    for (const int error : {ENETUNREACH, EADDRNOTAVAIL, ENOBUFS}) {
+        Town town({.operators = true});
+        town.kernel.connection_error = [&](int fd) {
+            sockaddr_in to{};
+            socklen_t size = sizeof to;
+            ::getpeername(fd, reinterpret_cast<sockaddr*>(&to), &size);
+            return to.sin_port == town.a.at.at.sin_port ? error : town.kernel.Kernel::connected(fd);
+        };
+        for (int i = 0; i < 12; ++i) {
+            End client = town.client(town.line()), host = town.setup();
+            if (host.fd.open()) host.say("UP r\r\n");
+            town.until([&] { return client.heard("\r\n"); });
+        }
+        CHECK(town.get("/stats").find("\"out_of_rotation\":0") != std::string::npos);
+    }
+}
