--- a/tests/fake.h
+++ b/tests/fake.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -216,7 +217,11 @@
             return true;
         }
     };
-    Failing polls, accepts, connects;
+    Failing polls, accepts, connects, listens;
+    net::Fd listen_on(const net::Address& at) override {
+        if (listens.strikes()) throw std::system_error(errno, std::generic_category(), "listen");
+        return Kernel::listen_on(at);
+    }
     std::function<int(int fd)> connection_error;  // in place of what became of a connection
     Tenths clock_ahead = 0;
     Tenths now() override { return Kernel::now() + clock_ahead; }
@@ -266,8 +271,9 @@
     int unreadable = 0;  // so many times the configuration cannot be read again
 
     Town() : Town(Terms{}) {}
-    explicit Town(const Terms& t, Tenths clock_ahead = 0) : drain(t.log), log(log::Level::error, drain) {
+    explicit Town(const Terms& t, Tenths clock_ahead = 0, Shared::Failing listens = {}) : drain(t.log), log(log::Level::error, drain) {
         kernel.clock_ahead = clock_ahead;
+        kernel.listens = listens;
         text = R"({"name":"n0","listen":")" + name + R"(","discovery":")" + discovery.name() +
                (t.operators ? R"(","admin_addr":")" + desk : "") + R"(","seed":"8c1f","limits":{"sockets":)" +
                std::to_string(t.sockets) + R"(},"known":{"revision":4,"complete":true,"members":[)" +
--- a/tests/rare_faults.cpp
+++ b/tests/rare_faults.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
@@ -224,3 +225,14 @@
         CHECK(town.get("/stats").find("\"out_of_rotation\":0") != std::string::npos);
     }
 }
+
+TEST_CASE("a node starts though its socket to listen on cannot be had for a moment") {
+    for (const int error : {ENOBUFS, ENFILE}) {
+        std::unique_ptr<Town> town;
+        CHECK_NOTHROW(town = std::make_unique<Town>(Town::Terms{}, 0, Shared::Failing{3, error}));
+        if (!town) continue;
+        End client = town->client(town->line()), host = town->setup();
+        host.say("UP r\r\n");
+        CHECK(town->until([&] { return client.heard("UP r\r\n"); }));
+    }
+}
