--- a/src/config/source.cpp
+++ b/src/config/source.cpp
@@ -1,5 +1,9 @@
 #include "config/source.h"
 
+#include <cerrno>
+
+#include "net/transfer.h"
+
 namespace lemonstair::config {
 
 namespace {
@@ -12,7 +16,13 @@
     const auto fail = [&](const char* what) {
         throw json::Malformed(std::string("configuration: '").append(path_).append("' ").append(what));
     };
-    if (const char* wrong = system_.read_file(path_, longest_file, text_)) fail(wrong);
+    errno = 0;
+    if (const char* wrong = system_.read_file(path_, longest_file, text_)) {
+        const int error = errno;
+        if (net::own_want(error) || error == EIO)
+            throw Unreadable(std::string("configuration: '").append(path_).append("' ").append(wrong));
+        fail(wrong);
+    }
     if (!file_.parse(text_)) fail("is not JSON");
     const json::Value file = file_.root().told_as("configuration");
     Launch launch = read_launch(file, around_);
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,10 +1,12 @@
 // lemonstair: one node. Its configuration is the JSON file that NODE_CONFIG names; LEMONSTAIR_LOG is the
 // log's level: error, info or debug.
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "config/source.h"
@@ -25,6 +27,20 @@
     return *level;
 }
 
+// Guards against a start that ends since the file could not be read in just that moment.
+lemonstair::config::Launch read_patiently(lemonstair::config::Source& source) {
+    constexpr int most_tries = 20;
+    constexpr auto between_tries = std::chrono::milliseconds(100);
+    for (int tries = 1; tries < most_tries; ++tries) {
+        try {
+            return source.read();
+        } catch (const lemonstair::config::Unreadable&) {
+            std::this_thread::sleep_for(between_tries);
+        }
+    }
+    return source.read();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -39,7 +55,7 @@
         lemonstair::config::Source source(kernel, path, {.admin_addr = std::getenv("NODE_ADMIN_ADDR"),
                                                              .inherited_fd = std::getenv("NODE_INHERITED_FD"),
                                                              .tmpdir = std::getenv("TMPDIR")});
-        auto launch = source.read();
+        auto launch = read_patiently(source);
         lemonstair::node::Node node(kernel, std::move(launch), source.known(), log,
                                     [&] { return source.read(); });
         node.run();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,16 +19,24 @@
 // After SIGHUP the new discovery counts as heard 4 s later: its call needs a part of that.
 constexpr Tenths renew_pause = 2500, renew_for = 25000;
 
-enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer, costs_timer, empty_timer, renew_timer };
+enum Timer : std::uint64_t { look_over_timer, tally_timer, list_timer, costs_timer, empty_timer, renew_timer, peers_timer };
+
+// Guards against a start that ends for want of descriptors or memory that is over in a moment.
+constexpr int most_tries = 20;
+constexpr Tenths between_tries = 1000;
 
 // Opens what listens at a configured address; a fault names the key.
 template <class Open>
-void open_at(const char* key, Open&& open) {
-    try {
-        open();
-    } catch (const std::system_error& e) {
-        throw json::Malformed(
-            std::string("configuration: field '").append(key).append("': ").append(e.what()));
+void open_at(net::System& system, const char* key, Open&& open) {
+    for (int tries = 1;; ++tries) {
+        try {
+            return open();
+        } catch (const std::system_error& e) {
+            if (!net::own_want(e.code().value()) || tries == most_tries)
+                throw json::Malformed(
+                    std::string("configuration: field '").append(key).append("': ").append(e.what()));
+        }
+        static_cast<void>(system.poll({}, between_tries));
     }
 }
 
@@ -61,10 +69,10 @@
       rng_(launch_.terms.seed),
       signals_(loop_, system.signals(), POLLIN, *this, 0) {
     if (launch_.inherited)
-        open_at("NODE_INHERITED_FD", [&] { stages_.take_in.listen_on(*launch_.inherited); });
+        open_at(system, "NODE_INHERITED_FD", [&] { stages_.take_in.listen_on(*launch_.inherited); });
     else
-        open_at("listen", [&] { stages_.take_in.listen_on(launch_.listen); });
-    if (launch_.admin) open_at("admin_addr", [&] { desk_.open(*launch_.admin, launch_.callers); });
+        open_at(system, "listen", [&] { stages_.take_in.listen_on(launch_.listen); });
+    if (launch_.admin) open_at(system, "admin_addr", [&] { desk_.open(*launch_.admin, launch_.callers); });
     for (const auto& [timer, every] : {std::pair{look_over_timer, look_over_every},
                                        {tally_timer, tally_every},
                                        {costs_timer, costs_every}})
@@ -102,11 +110,25 @@
 }
 
 void Node::speak() {
-    open_at("peer_listen", [&] { peers_.open(); });
+    open_peers();
     if (!launch_.terms.must_ask) watch_.open(hosts_.revision());
     stages_.take_in.open(true);
 }
 
+// Guards against an end of the process, with tunnels open, where it becomes the node again and has no descriptor
+// just then. Until it has one it hears of no other node, as if it were cut off from them.
+void Node::open_peers() {
+    try {
+        peers_.open();
+    } catch (const std::system_error& e) {
+        const bool transient = net::own_want(e.code().value());
+        if (!transient && phase_ == Phase::starting)
+            throw json::Malformed(std::string("configuration: field 'peer_listen': ").append(e.what()));
+        log_.error() << "no socket for the other nodes yet: " << e.what();
+        loop_.at(loop_.now() + between_tries, *this, peers_timer);
+    }
+}
+
 void Node::fall_silent() {
     stages_.take_in.open(false);
     peers_.close();
@@ -327,6 +349,10 @@
     if (token == look_over_timer) return look_over();
     if (token == costs_timer) return tell_costs();
     if (token == empty_timer) return empty_out();
+    if (token == peers_timer) {
+        if (!peers_.is_open() && handover::answers(succession_.stand())) open_peers();
+        return;
+    }
     if (token == renew_timer) {
         if (renew_at_ == 0 || loop_.now() < renew_at_) return;  // a later SIGHUP has its own tries
         renew_at_ = 0;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -54,6 +54,7 @@
     void go(Phase to);
     void think(std::string_view list);
     void speak();
+    void open_peers();
     void fall_silent();
     void carry_out(const Orders::Order& order);
     void look_over();
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -19,6 +19,8 @@
     // Only one process of a node hears and speaks.
     void open();
     void close() { socket_.close(); }
+    // True also where the settings have no words between nodes.
+    bool is_open() const { return socket_.open() || !launch_.terms.limits.peers || !launch_.peer_listen; }
     void tell(std::uint32_t node, std::span<const std::uint8_t> bytes);
     void tell_all(std::span<const std::uint8_t> bytes);
     void ready(std::uint64_t token, short events) override;
