--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -32,13 +32,12 @@
 }  // namespace
 
 std::string write_plan(const FaultPlan& plan) {
-    std::string values;
+    std::ostringstream out;
     each_field(plan, [&](std::string_view name, const auto& value) {
-        std::ostringstream one;
-        one << name << '=' << value;
-        values += (values.empty() ? "" : ",") + one.str();
+        if (out.tellp() > 0) out << ',';
+        out << name << '=' << value;
     });
-    return values;
+    return out.str();
 }
 
 FaultPlan read_plan(std::string_view text) {
