--- a/src/account/violations.h
+++ b/src/account/violations.h
@@ -10,11 +10,11 @@
 namespace lemonstair::account {
 
 enum class Rule : std::uint8_t {
-    written_without_leave,    // an attempt's first byte, though the attempt policy forbids it by then
-    repeated_without_leave,   // two attempts of one tunnel at a time
-    closed_unanswered,        // a connection whose client had been read, or had spoken, had no answer
-    answered_twice,           // a second final answer
-    exited_with_debts,        // the process left something unanswered
+    written_without_leave,   // an attempt's first byte, though the attempt policy forbids it by then
+    repeated_without_leave,  // two attempts of one tunnel at a time
+    closed_unanswered,       // a connection whose client had been read, or had spoken, had no answer
+    answered_twice,          // a second final answer
+    exited_with_debts,       // the process left something unanswered
     count
 };
 
--- a/src/balance/attempt_policy.cpp
+++ b/src/balance/attempt_policy.cpp
@@ -30,7 +30,7 @@
 }
 
 Reason may_write(const Allowance& allowance, const History& before, const EndpointPhase& endpoint,
-                  Tenths drain_grace, Tenths now, Tenths reserve) {
+                 Tenths drain_grace, Tenths now, Tenths reserve) {
     if (now >= allowance.give_up_at) return Reason::no_time_left;
     const Reason phase = may_send_to(endpoint, drain_grace, now, reserve);
     if (phase != Reason::allowed) return phase;
--- a/src/balance/attempt_policy.h
+++ b/src/balance/attempt_policy.h
@@ -1,8 +1,8 @@
 // Attempt policy: the one place that decides whether an attempt may be sent, repeated, or declined with the
 // promise that it had no effect, and whether a connection or the process may be closed now. Pure functions of
 // what the caller knows; the clock is an argument. The decision module asks them when it chooses, the network
-// code asks again in the instant in which the first byte would be written: between the two lie the time that a
-// connection takes to come up and whatever has held the process up.
+// code asks again in the instant in which the first byte would be written: between the two lie the time that
+// a connection takes to come up and whatever has held the process up.
 #pragma once
 
 #include <cstddef>
@@ -22,7 +22,7 @@
 };
 // `reserve`: the time that may pass until it is written.
 Reason may_send_to(const EndpointPhase& endpoint, Tenths drain_grace, Tenths now,
-                    Tenths reserve = longest_hold_up);
+                   Tenths reserve = longest_hold_up);
 
 // What has been tried for one tunnel.
 struct History {
@@ -49,21 +49,21 @@
 
 // Whether the line of an attempt that was chosen may still be written.
 Reason may_write(const Allowance& allowance, const History& before, const EndpointPhase& endpoint,
-                  Tenths drain_grace, Tenths now, Tenths reserve = longest_hold_up);
+                 Tenths drain_grace, Tenths now, Tenths reserve = longest_hold_up);
 
 // Whether a tunnel that is given up may be told that trying again is harmless.
 bool may_promise_no_effect(const Allowance& allowance, const History& history, Tenths now);
 
 // What a connection that awaits its first line holds when it would be closed without an answer.
 struct PendingInput {
-    std::size_t unread = 0;    // bytes that the system holds
-    bool whole_line = false;   // a line has been read and not been answered
+    std::size_t unread = 0;   // bytes that the system holds
+    bool whole_line = false;  // a line has been read and not been answered
 };
 Reason may_close_unanswered(const PendingInput& input);
 
 // What a process that would exit still owes.
 struct Debts {
-    std::size_t tunnels = 0;      // without a final answer, or with last words on their way
+    std::size_t tunnels = 0;        // without a final answer, or with last words on their way
     bool speaking_clients = false;  // their first line has begun
     bool listener_empty = true;     // the system said so, in this pass
 };
--- a/src/discovery/start_times.h
+++ b/src/discovery/start_times.h
@@ -1,8 +1,8 @@
-// Start times: when endpoints started, on this process's own clock. Discovery tells them as Unix time of other
-// machines, and the wall clocks of machines may be apart, or be stepped, by seconds or by hours. What is certain
-// is that no endpoint has started in a time to come, and that one whose start is news started after the list
-// was last heard of, but for the time that discovery takes to notice. No I/O; the clock is an argument, in
-// tenths of a ms.
+// Start times: when endpoints started, on this process's own clock. Discovery tells them as Unix time of
+// other machines, and the wall clocks of machines may be apart, or be stepped, by seconds or by hours. What
+// is certain is that no endpoint has started in a time to come, and that one whose start is news started
+// after the list was last heard of, but for the time that discovery takes to notice. No I/O; the clock is an
+// argument, in tenths of a ms.
 #pragma once
 
 #include <algorithm>
@@ -24,8 +24,8 @@
     }
     // Of an endpoint that may have started at any time before; 0: long ago.
     Tenths of_known(Tenths listed) const { return listed <= 0 ? 0 : listed + offset_; }
-    // Of one whose start the list did not hold when it was last heard, at `current_at`. The shortest notice seen
-    // is taken for none: an endpoint then counts as too young by that, never as too old.
+    // Of one whose start the list did not hold when it was last heard, at `current_at`. The shortest notice
+    // seen is taken for none: an endpoint then counts as too young by that, never as too old.
     Tenths of_news(Tenths listed, Tenths now, Tenths current_at) {
         if (listed <= 0) return 0;
         const Tenths sample = now - listed;
--- a/src/soak/fault_plan.h
+++ b/src/soak/fault_plan.h
@@ -14,7 +14,7 @@
 struct FaultPlan {
     std::uint64_t seed = 1;
     // The wall clock; the monotonic one is left alone.
-    std::int64_t wall_offset_ms = 0;     // from the start of the process
+    std::int64_t wall_offset_ms = 0;      // from the start of the process
     std::int64_t wall_step_after_ms = 0;  // of its run; 0: no step
     std::int64_t wall_step_ms = 0;
     // Calls fail, each with this probability, within a window of the run.
--- a/src/soak/fault_shim.cpp
+++ b/src/soak/fault_shim.cpp
@@ -58,7 +58,8 @@
     }
     bool shortens() { return plan_.short_io > 0 && unit() < plan_.short_io; }
     std::size_t some_of(std::size_t whole) {
-        return whole < 2 ? whole : 1 + static_cast<std::size_t>(draw_below(static_cast<std::int64_t>(whole) - 1));
+        return whole < 2 ? whole
+                         : 1 + static_cast<std::size_t>(draw_below(static_cast<std::int64_t>(whole) - 1));
     }
     template <std::size_t n>
     int fail(const std::array<int, n>& errors) {
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -1,6 +1,6 @@
 // lemonstair_soak: many real processes on the loopback, two or three troubles that overlap in time, a shim in
-// each process that lets calls, files and clocks fail; judged by the rules from the wire and by the processes'
-// own checks. Each seed is a day; the same seed draws the same day.
+// each process that lets calls, files and clocks fail; judged by the rules from the wire and by the
+// processes' own checks. Each seed is a day; the same seed draws the same day.
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <csignal>
@@ -134,7 +134,8 @@
 
 int main(int argc, char** argv) {
     CLI::App app{"Plays randomized days of overlapping troubles on many real processes."};
-    app.footer("Exit status: 0 all rules kept; 1 a rule broken; 2 wrong use; 3 the machine was too busy to tell.");
+    app.footer(
+        "Exit status: 0 all rules kept; 1 a rule broken; 2 wrong use; 3 the machine was too busy to tell.");
     Options options;
     app.add_option("--seeds", options.seeds, "one seed or a range, as 1..20")->required();
     app.add_option("--program", options.program, "the node's program")->required()->check(CLI::ExistingFile);
--- a/src/soak/soak_day.cpp
+++ b/src/soak/soak_day.cpp
@@ -21,18 +21,38 @@
 constexpr std::int64_t hour_ms = 3600000;
 
 // Each collision is two or three of these within a second of each other.
-constexpr std::array troubles{
-    FaultKind::node_kill,        FaultKind::node_leave,      FaultKind::node_leave,
-    FaultKind::node_leave,       FaultKind::node_stall,      FaultKind::node_reload,
-    FaultKind::node_reload_broken, FaultKind::node_vanish,   FaultKind::discovery_move,
-    FaultKind::discovery_down,   FaultKind::discovery_silent, FaultKind::discovery_slow,
-    FaultKind::discovery_spoilt, FaultKind::discovery_anew,  FaultKind::host_drain,
-    FaultKind::host_drain,       FaultKind::host_hang,       FaultKind::host_kill,
-    FaultKind::host_kill,        FaultKind::host_vanish,     FaultKind::host_errors,
-    FaultKind::host_full,        FaultKind::host_resets,     FaultKind::host_sends_away,
-    FaultKind::path_cut,         FaultKind::nodes_apart,     FaultKind::nodes_deaf,
-    FaultKind::datagrams_lost,   FaultKind::datagrams_doubled, FaultKind::nodes_cut_from_hosts,
-    FaultKind::crowd,            FaultKind::rude};
+constexpr std::array troubles{FaultKind::node_kill,
+                              FaultKind::node_leave,
+                              FaultKind::node_leave,
+                              FaultKind::node_leave,
+                              FaultKind::node_stall,
+                              FaultKind::node_reload,
+                              FaultKind::node_reload_broken,
+                              FaultKind::node_vanish,
+                              FaultKind::discovery_move,
+                              FaultKind::discovery_down,
+                              FaultKind::discovery_silent,
+                              FaultKind::discovery_slow,
+                              FaultKind::discovery_spoilt,
+                              FaultKind::discovery_anew,
+                              FaultKind::host_drain,
+                              FaultKind::host_drain,
+                              FaultKind::host_hang,
+                              FaultKind::host_kill,
+                              FaultKind::host_kill,
+                              FaultKind::host_vanish,
+                              FaultKind::host_errors,
+                              FaultKind::host_full,
+                              FaultKind::host_resets,
+                              FaultKind::host_sends_away,
+                              FaultKind::path_cut,
+                              FaultKind::nodes_apart,
+                              FaultKind::nodes_deaf,
+                              FaultKind::datagrams_lost,
+                              FaultKind::datagrams_doubled,
+                              FaultKind::nodes_cut_from_hosts,
+                              FaultKind::crowd,
+                              FaultKind::rude};
 
 std::uint32_t whole(Chance& chance, std::int64_t from, std::int64_t to) {
     return static_cast<std::uint32_t>(chance.between(from, to));
@@ -77,7 +97,8 @@
     return fault;
 }
 
-// Many small tunnels, and hosts that bear few of them for as long as they are cold: the budget of a cold host binds.
+// Many small tunnels, and hosts that bear few of them for as long as they are cold: the budget of a cold host
+// binds.
 void make_cold_fleet(Chance& chance, Day& day) {
     day.hosts = 8;
     day.cold_hosts = 4;
