--- a/review/support/run.sh
+++ b/review/support/run.sh
@@ -10,7 +10,8 @@
     echo "build the node by deploy/balancer.toml and run review/build.sh first" >&2
     exit 2
 fi
-temporary=$(mktemp -d) || exit 2
+# A short path: the node puts a local socket there, and its name may have 107 bytes.
+temporary=$(mktemp -d /tmp/review.XXXXXX) || exit 2
 trap 'rm -rf "$temporary"' EXIT
 timeout -k 1 115 "$program" "$root" "$command" "$folder" "$temporary"
 status=$?
