--- a/src/tunnel/acceptor.cpp
+++ b/src/tunnel/acceptor.cpp
@@ -211,20 +211,25 @@
     return LineResult::keep_reading;
 }
 
+Acceptor::LineResult Acceptor::reject_request(TunnelId id, std::string_view cause) {
+    registry_.log.debug() << "tunnel " << static_cast<std::uint32_t>(id)
+                          << ": request line rejected with an error: " << cause;
+    completion_.reject_protocol_error(id);
+    return LineResult::left_stage;
+}
+
 Acceptor::LineResult Acceptor::handle_request(TunnelId id, std::string_view line) {
     Tunnel& tunnel = *registry_.find(id);
     const auto parsed =
         line.size() <= wire::longest_line
             ? parse_request_line(line, registry_.config.traffic_class_names, registry_.loop.now())
             : std::nullopt;
+    if (!parsed) return reject_request(id, "it is malformed");
     const auto input = tunnel.request_buffer.view();
-    if (!parsed || begins_command(input.substr(input.find('\n') + 1)) ||
-        !claim_id(tunnel, parsed->id, parsed->request.mid_flow)) {
-        registry_.log.debug() << "request line of a client rejected: malformed, followed by another command, "
-                                 "or its id is or was in use; closing with an error";
-        completion_.reject_protocol_error(id);
-        return LineResult::left_stage;
-    }
+    if (begins_command(input.substr(input.find('\n') + 1)))
+        return reject_request(id, "another command follows it");
+    if (!claim_id(tunnel, parsed->id, parsed->request.mid_flow))
+        return reject_request(id, "its id belongs to another tunnel, or did recently");
     registry_.log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << " accepted: " << line;
     if (has_disconnected(tunnel)) {
         completion_.close_now(id);
--- a/src/tunnel/acceptor.h
+++ b/src/tunnel/acceptor.h
@@ -49,6 +49,7 @@
     LineResult handle_line(TunnelId id, std::string_view line);
     LineResult handle_readiness_check(TunnelId id);
     LineResult handle_request(TunnelId id, std::string_view line);
+    LineResult reject_request(TunnelId id, std::string_view cause);
     bool write_or_buffer(Tunnel& tunnel, std::string_view text);
 
     TunnelRegistry& registry_;
