Hot restart: an id has one owner among the tunnels of both processes

Cause: each process decided by its own index which id a request may claim. The new process learned the ids of open tunnels one by one, as they came over, and nothing of setups that are out, of ids that had been open, or of requests that the old process reads after it was replaced; the old one learned nothing of the new one's. For some ms both accepted clients.

Change: request_ids::IdRegistry holds who has an id. One of the two processes decides: the old one until it has stopped accepting clients, then the new one. Each reports what it claims and releases at the end of the pass, before an attempt of that tunnel can be written; the new one accepts clients only when the old one has reported all and stopped (new role taking_over, half a second at most). A replaced process asks for an id that a late request claims (new state 'awaiting id'; BUSY after half of the client's time, a second at most); a mid-flow request for an id of the other process is asked for too. Ids of a process that dies count as recently closed for 40 s. A process that does not read is sent one complete report later instead of changes without bound. Processes of the revision before take no part and are served as before. A reset of the channel no longer drops packets that had arrived before it.

Wilful mistakes are found: accepting too early, a grant not recorded, a release not heard, serials ignored, two requests for one id.

--- a/src/balance/reason.h
+++ b/src/balance/reason.h
@@ -26,6 +26,7 @@
     no_endpoint,       // that may be sent to, within the time that the tunnel may wait
     node_full,         // the node has as many tunnels as its descriptors allow
     bad_client,        // the client broke the protocol
+    id_unconfirmed,    // the other process of the node has not told whether the request's id is free
     // A connection or the process may not be closed yet.
     input_unread,  // a client has sent something that was not answered
     answer_owed,   // a tunnel has no final answer yet
@@ -37,10 +38,10 @@
 
 constexpr std::string_view name_of(Reason reason) {
     constexpr std::array<std::string_view, reason_count> names{
-        "allowed",     "client_gone",       "no_time_left",       "attempts_used", "may_have_run",
-        "window_over", "endpoint_draining", "failing_everywhere", "local_failure", "admission_closed",
-        "too_costly",  "no_endpoint",       "node_full",          "bad_client",    "input_unread",
-        "answer_owed", "queue_unread"};
+        "allowed",      "client_gone",       "no_time_left",       "attempts_used", "may_have_run",
+        "window_over",  "endpoint_draining", "failing_everywhere", "local_failure", "admission_closed",
+        "too_costly",   "no_endpoint",       "node_full",          "bad_client",    "id_unconfirmed",
+        "input_unread", "answer_owed",       "queue_unread"};
     return reason < Reason::count ? names[static_cast<std::size_t>(reason)] : "unknown";
 }
 
--- a/src/hot_restart/packet_channel.cpp
+++ b/src/hot_restart/packet_channel.cpp
@@ -81,9 +81,13 @@
 void PacketChannel::read() {
     read_buffer_.resize(max_packet_bytes);
     const std::uint64_t connection = connections_;
+    bool reset_reported = false;
     for (int i = 0; i < reads_per_pass && is_connected() && connection == connections_; ++i) {
         std::vector<net::Fd> descriptors;
         const auto received = loop_.system().receive_packet(socket_.fd(), read_buffer_, descriptors);
+        // If the peer has ended without reading everything, the system reports that before the packets that
+        // the peer had sent, once.
+        if (received.error == ECONNRESET && !std::exchange(reset_reported, true)) continue;
         if (received.ended || received.error != 0) {
             disconnect();
             return listener_.on_disconnect();
--- a/src/hot_restart/packets.cpp
+++ b/src/hot_restart/packets.cpp
@@ -22,6 +22,40 @@
     return bytes;
 }
 
+std::string encode_ids(const std::vector<request_ids::IdChange>& changes) {
+    std::string bytes;
+    serialization::Writer writer(bytes);
+    for (const request_ids::IdChange& change : changes) {
+        writer.value(change.id_hash);
+        writer.value(change.state);
+    }
+    return bytes;
+}
+
+bool decode_ids(std::string_view payload, std::vector<request_ids::IdChange>& changes) {
+    serialization::Reader reader(payload);
+    while (!reader.at_end()) {
+        request_ids::IdChange change;
+        reader.value(change.id_hash);
+        reader.value(change.state);
+        if (!reader.good() || change.state > request_ids::last_id_state) return false;
+        changes.push_back(change);
+    }
+    return true;
+}
+
+std::string encode_serial(std::uint64_t serial) {
+    std::string bytes;
+    serialization::Writer(bytes).value(serial);
+    return bytes;
+}
+
+bool decode_serial(std::string_view payload, std::uint64_t& serial) {
+    serialization::Reader reader(payload);
+    reader.value(serial);
+    return reader.good() && reader.at_end();
+}
+
 DecodeResult decode(std::string_view bytes, Packet& packet) {
     if (bytes.size() > max_packet_bytes || bytes.substr(0, magic.size()) != magic)
         return DecodeResult::malformed;
--- a/src/hot_restart/session.cpp
+++ b/src/hot_restart/session.cpp
@@ -13,20 +13,24 @@
 // Requests that the old process rejects because it takes part in a restart already are repeated for 4 s. An
 // old process waits 5 s until a connected peer has requested its state and become ready.
 constexpr Ticks request_timeout = 20000, start_timeout = 40000, offer_timeout = 50000;
+// How long a new process waits, once it is ready, until the old one has stopped accepting clients. An old
+// process that runs accepts clients meanwhile.
+constexpr Ticks stop_timeout = 5000;
 constexpr Ticks progress_interval = 2500, retry_pause = 2000;
 constexpr std::size_t max_tunnels_in_transfer = 16, descriptors_per_tunnel = 2, spare_descriptors = 8;
 enum Timer : std::uint64_t { progress_timer, retry_timer };
 
 }  // namespace
 
-Session::Session(net::EventLoop& loop, Delegate& delegate, log::Log& log, std::string node_name,
-                 std::string path)
+Session::Session(net::EventLoop& loop, Delegate& delegate, log::Log& log, request_ids::IdRegistry& ids,
+                 std::string node_name, std::string path)
     : loop_(loop),
       delegate_(delegate),
       log_(log),
       node_name_(std::move(node_name)),
       enabled_(!path.empty()),
-      channel_(loop, *this, std::move(path), encode({.kind = PacketKind::reject, .flag = true})) {}
+      channel_(loop, *this, std::move(path), encode({.kind = PacketKind::reject, .flag = true})),
+      id_exchange_(ids, channel_) {}
 
 void Session::start() {
     started_at_ = role_since_ = loop_.now();
@@ -43,6 +47,7 @@
 void Session::request_state() {
     send({.kind = PacketKind::request_state,
           .descriptors_held = static_cast<std::uint32_t>(delegate_.descriptors_held()),
+          .number = protocol_revision,
           .payload = node_name_});
     // A repeated request gets only the time that is left until the start timeout.
     set_give_up_time(std::min(request_timeout, started_at_ + start_timeout - loop_.now()));
@@ -65,7 +70,9 @@
                 << delegate_.descriptors_held() << ", by the other process " << peer_descriptors_;
     if (is_active(*to) && !channel_.is_listening()) channel_.listen();
     if (!is_active(*to)) channel_.stop_listening();
+    id_exchange_.on_role_changed(*to);
     if (*to == Role::standalone) {
+        id_exchange_.on_disconnect(loop_.now());
         set_peer_descriptors(0);
         for (const auto number : std::exchange(in_transfer_, {})) delegate_.on_transfer_result(number, false);
     }
@@ -99,6 +106,7 @@
 // cannot connect and the node begins without its state.
 void Session::retry_later() {
     channel_.disconnect();
+    id_exchange_.on_disconnect(loop_.now());
     endpoint_list_.clear();
     balancer_state_.clear();
     if (loop_.now() - started_at_ < start_timeout)
@@ -141,9 +149,7 @@
         case PacketKind::state_complete:
             return handle_state_complete(packet);
         case PacketKind::ready:
-            if (!transition(Event::peer_ready)) return false;
-            transfer_tunnels();
-            return true;
+            return handle_ready();
         case PacketKind::tunnel:
             return handle_tunnel(packet, descriptors);
         case PacketKind::tunnel_result:
@@ -151,6 +157,12 @@
         case PacketKind::descriptors_held:
             set_peer_descriptors(packet.descriptors_held);
             return true;
+        case PacketKind::ids:
+        case PacketKind::id_request:
+        case PacketKind::id_result:
+            return handle_ids(packet);
+        case PacketKind::accepting_stopped:
+            return handle_accepting_stopped();
         case PacketKind::kinds_end:
             break;
     }
@@ -163,12 +175,41 @@
         abandon("the peer belongs to another node");
         return true;
     }
+    id_exchange_.on_peer_revision(packet.number);
     transition(Event::request_received);
     set_peer_descriptors(packet.descriptors_held);
+    id_exchange_.send_all_reports();
     send_state();
     return true;
 }
 
+// The new process may accept clients only when it knows each id that this one has.
+bool Session::handle_ready() {
+    if (!transition(Event::peer_ready)) return false;
+    id_exchange_.send_all_reports();
+    if (id_exchange_.active()) send({.kind = PacketKind::accepting_stopped});
+    transfer_tunnels();
+    return true;
+}
+
+// May also come when this process has given up waiting for it.
+bool Session::handle_accepting_stopped() {
+    if (role_ != Role::taking_over && role_ != Role::receiving) return false;
+    transition(Event::peer_stopped);
+    return true;
+}
+
+bool Session::handle_ids(const Packet& packet) {
+    if (role_ == Role::standalone) return false;
+    if (packet.kind == PacketKind::ids) return id_exchange_.handle_report(packet);
+    if (role_ != Role::receiving && !is_replaced(role_)) return false;
+    if (packet.kind == PacketKind::id_request) return id_exchange_.handle_request(packet);
+    request_ids::IdResult result{.id_hash = packet.number, .serial = 0, .granted = packet.flag};
+    if (!decode_serial(packet.payload, result.serial)) return false;
+    delegate_.on_id_result(result);
+    return true;
+}
+
 void Session::handle_reject(const Packet& packet) {
     const bool retry_allowed = packet.flag;
     if (role_ == Role::requesting_state && retry_allowed) return retry_later();
@@ -188,7 +229,8 @@
 }
 
 // The old process stops accepting clients when it receives `ready`. This process begins before it sends
-// `ready`, so that at any moment a process accepts clients.
+// `ready`, and if the old one does not report ids, it accepts clients from then on: it would not be told when
+// the old one has stopped.
 bool Session::handle_state_complete(const Packet& packet) {
     if (role_ != Role::requesting_state) return false;
     peer_descriptors_ = packet.descriptors_held;
@@ -199,8 +241,10 @@
     delegate_.on_peer_descriptors(peer_descriptors_);
     transition(Event::state_received);
     delegate_.begin(std::exchange(endpoint_list_, {}), std::exchange(balancer_state_, {}));
+    if (!id_exchange_.active()) transition(Event::peer_stopped);
     send({.kind = PacketKind::ready});
     send_descriptors_held();
+    set_give_up_time(stop_timeout);
     return true;
 }
 
@@ -297,14 +341,25 @@
     if (!progress_timer_set_) return;
     loop_.schedule(loop_.now() + progress_interval, *this, progress_timer);
     // A peer that is stuck, or that connects and sends nothing, must not block this process.
-    const bool waiting =
-        role_ == Role::requesting_state || role_ == Role::offering_state || role_ == Role::standalone;
-    if (waiting && channel_.is_connected() && loop_.now() >= give_up_at_) {
-        if (role_ == Role::requesting_state) send({.kind = PacketKind::reject});
-        return abandon("the peer did not answer in time");
-    }
+    const bool waiting = role_ == Role::requesting_state || role_ == Role::offering_state ||
+                         role_ == Role::taking_over || role_ == Role::standalone;
+    if (waiting && channel_.is_connected() && loop_.now() >= give_up_at_) return give_up_waiting();
     if (role_ == Role::receiving || is_replaced(role_)) send_descriptors_held();
     transfer_tunnels();
 }
 
+// An old process that does not run accepts no clients either, and reads `ready` before anything else when it
+// runs again.
+void Session::give_up_waiting() {
+    if (role_ == Role::taking_over) {
+        log_.error()
+            << "hot restart: the old process has not confirmed that it stopped accepting clients; this "
+               "process accepts them from now on";
+        transition(Event::peer_stopped);
+        return;
+    }
+    if (role_ == Role::requesting_state) send({.kind = PacketKind::reject});
+    abandon("the peer did not answer in time");
+}
+
 }  // namespace lemonstair::hot_restart
--- a/src/hot_restart/session.h
+++ b/src/hot_restart/session.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "hot_restart/id_exchange.h"
 #include "hot_restart/packet_channel.h"
 #include "hot_restart/packets.h"
 #include "hot_restart/state_machine.h"
@@ -38,7 +39,8 @@
     virtual net::Ticks clock_base() = 0;
     // New process: the clock base of the old process; called before `begin`.
     virtual void on_peer_clock_base(net::Ticks base) = 0;
-    // This process becomes the node, with the state of the old process or without one (both are empty).
+    // This process becomes the node, with the state of the old process or without one (both are empty). In
+    // role taking_over it does not accept clients yet: on_role_changed follows.
     virtual void begin(std::string_view endpoint_list, std::string_view balancer_state) = 0;
     // Called after each change of role, except for the changes that `begin` follows.
     virtual void on_role_changed(Role from, Role to) = 0;
@@ -53,6 +55,8 @@
     // Descriptors that this process holds, and the number that both processes may hold together.
     virtual std::size_t descriptors_held() const = 0;
     virtual std::size_t descriptor_limit() const = 0;
+    // The other process has answered whether a request of this one may claim an id.
+    virtual void on_id_result(const request_ids::IdResult& result) = 0;
     // The number of descriptors that the other process holds has changed; 0: there is no other process.
     virtual void on_peer_descriptors(std::size_t descriptors) = 0;
 };
@@ -61,7 +65,8 @@
   public:
     // `path` is that of the local socket on which the processes of this node connect; empty: hot restart is
     // off.
-    Session(net::EventLoop& loop, Delegate& delegate, log::Log& log, std::string node_name, std::string path);
+    Session(net::EventLoop& loop, Delegate& delegate, log::Log& log, request_ids::IdRegistry& ids,
+            std::string node_name, std::string path);
     // Connects to an old process if there is one; otherwise the node begins at once. Must be called once.
     void start();
     Role role() const { return role_; }
@@ -69,6 +74,9 @@
     bool displaced() const { return displaced_; }
     // Continues the transfer. To be called when more tunnels can be transferred.
     void transfer_tunnels();
+    // Reports to the other process which ids this one has claimed and released. To be called at the end of
+    // each pass of the event loop: an attempt must not be written before its tunnel's id is reported.
+    void send_ids() { id_exchange_.send_pending(); }
 
     void on_ready(std::uint64_t, short) override {}
     void on_timer(std::uint64_t token) override;
@@ -82,6 +90,7 @@
     void abandon(std::string_view reason);
     void set_give_up_time(net::Ticks timeout);
     void check_progress();
+    void give_up_waiting();
 
     // Each returns false where the packet is invalid in this role.
     bool handle(const Packet& packet, std::vector<net::Fd>& descriptors);
@@ -89,6 +98,9 @@
     void handle_reject(const Packet& packet);
     bool handle_state_part(const Packet& packet);
     bool handle_state_complete(const Packet& packet);
+    bool handle_ready();
+    bool handle_accepting_stopped();
+    bool handle_ids(const Packet& packet);
     bool handle_tunnel(const Packet& packet, std::vector<net::Fd>& descriptors);
     bool handle_tunnel_result(const Packet& packet);
 
@@ -109,6 +121,7 @@
     std::string node_name_;
     bool enabled_ = false, displaced_ = false, progress_timer_set_ = false, transferring_now_ = false;
     PacketChannel channel_;
+    IdExchange id_exchange_;
     Role role_ = Role::standalone;
     net::Ticks give_up_at_ = 0, started_at_ = 0, role_since_ = 0;
     std::string endpoint_list_, balancer_state_;  // received so far
--- a/src/hot_restart/state_machine.cpp
+++ b/src/hot_restart/state_machine.cpp
@@ -11,11 +11,13 @@
     Event event;
     Role to;
 };
-constexpr std::array<Transition, 12> transitions{
+constexpr std::array<Transition, 14> transitions{
     {{Role::standalone, Event::peer_found, Role::requesting_state},
      {Role::standalone, Event::request_received, Role::offering_state},
-     {Role::requesting_state, Event::state_received, Role::receiving},
+     {Role::requesting_state, Event::state_received, Role::taking_over},
      {Role::requesting_state, Event::disconnected, Role::standalone},
+     {Role::taking_over, Event::peer_stopped, Role::receiving},
+     {Role::taking_over, Event::disconnected, Role::standalone},
      {Role::offering_state, Event::peer_ready, Role::transferring},
      {Role::offering_state, Event::disconnected, Role::standalone},
      {Role::transferring, Event::all_transferred, Role::transferred},
@@ -28,8 +30,9 @@
 }  // namespace
 
 std::string_view name_of(Role role) {
-    constexpr std::array<std::string_view, 6> names{"standalone",   "requesting_state", "offering_state",
-                                                    "transferring", "transferred",      "receiving"};
+    constexpr std::array<std::string_view, 7> names{"standalone",   "requesting_state", "offering_state",
+                                                    "transferring", "transferred",      "taking_over",
+                                                    "receiving"};
     return names[static_cast<std::size_t>(role)];
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -68,7 +68,7 @@
       health_checker_(loop_, stages_.registry.pool, endpoints_, *this, config_, counters_),
       status_log_(stages_.registry, health_checker_),
       admin_server_(loop_, *this, log_),
-      hot_restart_(loop_, *this, log_, config_.name, config_.hot_restart_path),
+      hot_restart_(loop_, *this, log_, stages_.registry.ids, config_.name, config_.hot_restart_path),
       drain_(
           stages_, [this] { return is_handed_over(); }, [this] { transition_to(Phase::stopped); }),
       config_reloader_(loop_, config_, log_, std::move(read_config),
@@ -99,6 +99,8 @@
 bool Node::run_once() {
     loop_.run_once([this] {
         balancer_.run_actions([this](const DeferredActions::Action& action) { execute(action); });
+        // An attempt that has been started now is written in a later pass.
+        hot_restart_.send_ids();
     });
     log_.flush();
     return phase_ != Phase::stopped;
@@ -146,6 +148,7 @@
     }
     loop_.schedule(loop_.now() + check_endpoints_interval, *this, check_endpoints_timer);
     stages_.relay.check_endpoints();
+    stages_.registry.ids.expire(loop_.now());
 }
 
 void Node::execute(const DeferredActions::Action& action) {
@@ -197,6 +200,12 @@
     start_serving();
     // The list of the other process may be out of date, so discovery is called at once.
     if (!endpoint_list.empty() && !endpoint_list_.is_open()) endpoint_list_.open();
+    if (accepts_clients()) accept_clients();
+}
+
+// The first time that this process accepts clients.
+void Node::accept_clients() {
+    stages_.acceptor.set_accepting(true);
     transition_to(Phase::serving);
     config_reloader_.reload_deferred();
 }
@@ -205,18 +214,25 @@
     const bool alone = to == hot_restart::Role::standalone;
     stages_.registry.ready = ready();
     stages_.registry.descriptors.set_sibling_reserve(alone ? reserve_for_new_process : reserve_for_sibling);
-    if (hot_restart::is_active(from) == hot_restart::is_active(to)) return;
-    if (!hot_restart::is_active(to)) return stop_serving();
-    // The new process has died just after taking over: this one acts as the node again.
+    if (from == hot_restart::Role::taking_over)
+        accept_clients();
+    else if (hot_restart::is_active(from) != hot_restart::is_active(to))
+        hot_restart::is_active(to) ? serve_again() : stop_serving();
+    if (alone) stages_.id_claims.on_peer_gone();
+}
+
+// The new process has died just after taking over: this one acts as the node again.
+void Node::serve_again() {
     stages_.registry.balancer_now().resume_ownership();
     start_serving();
+    stages_.acceptor.set_accepting(true);
     endpoint_list_.notify_balancer(EndpointListKind::moved);
 }
 
+// Everything that the node does but accepting clients.
 void Node::start_serving() {
     open_peer_link();
     endpoint_list_.open_if_notified();
-    stages_.acceptor.set_accepting(true);
 }
 
 void Node::stop_serving() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -57,9 +57,12 @@
     void shut_down();
     void start_serving();
     void stop_serving();
+    void accept_clients();
+    void serve_again();
     void open_peer_link();
     // Whether this process acts as the node: during a hot restart only one of the two processes does.
     bool owns_node() const { return hot_restart::is_active(hot_restart_.role()); }
+    bool accepts_clients() const { return hot_restart::accepts_clients(hot_restart_.role()); }
     bool is_handed_over() const { return hot_restart::is_replaced(hot_restart_.role()); }
     void execute(const DeferredActions::Action& action);
     void check_health(std::uint32_t endpoint);
@@ -67,7 +70,7 @@
 
     void on_health_check(std::uint32_t endpoint, Outcome outcome, Ticks took,
                          const LoadReport& report) override;
-    bool ready() const override { return phase_ == Phase::serving && owns_node(); }
+    bool ready() const override { return phase_ == Phase::serving && accepts_clients(); }
     std::string_view phase() const override;
     std::string metrics_page() const override;
     bool drain() override;
@@ -87,6 +90,7 @@
         return loop_.in_use() + tunnel::DescriptorBudget::outside_loop;
     }
     std::size_t descriptor_limit() const override { return config_.max_descriptors; }
+    void on_id_result(const request_ids::IdResult& result) override { stages_.id_claims.on_result(result); }
     void on_peer_descriptors(std::size_t descriptors) override {
         stages_.registry.descriptors.set_sibling_held(descriptors);
     }
--- a/src/tunnel/acceptor.cpp
+++ b/src/tunnel/acceptor.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "balance/id_index.h"
 #include "net/lines.h"
 #include "net/transfer.h"
 #include "tunnel/request_line.h"
@@ -22,23 +23,12 @@
 // How long a client may take to send its request.
 constexpr Ticks request_timeout = 25000, request_timeout_after_check = 10000;
 constexpr Ticks request_timeout_reject_only = 5000;
-// How long it may take to resume a tunnel that is already open at its endpoint.
-constexpr Ticks resume_timeout = 400000;
 // Connections accepted only to tell the client that the node is full. In the listener's queue the client
 // would get no answer before its timeout.
 constexpr std::size_t max_reject_only = 6;
 constexpr int max_readiness_checks = 16;
 constexpr int max_accepts_per_pass = 64;
 
-// Asks the system, because the client may have disconnected while its request was queued at a process that
-// was suspended or has just started. An end behind unread bytes is noticed in the next pass, before the
-// request is sent to an endpoint.
-bool has_disconnected(const Tunnel& tunnel) {
-    std::array<char, 1> next{};
-    const auto peeked = tunnel.client.peek(next);
-    return peeked.ended || peeked.error != 0;
-}
-
 }  // namespace
 
 void Acceptor::listen_on(net::Fd listener) {
@@ -228,15 +218,18 @@
     const auto input = tunnel.request_buffer.view();
     if (begins_command(input.substr(input.find('\n') + 1)))
         return reject_request(id, "another command follows it");
-    if (!claim_id(tunnel, parsed->id, parsed->request.mid_flow))
+    tunnel.id_hash = hash_text(parsed->id) | 1;
+    const request_ids::Claim claim = registry_.ids.check_claim(tunnel.id_hash, parsed->request.mid_flow);
+    if (claim == request_ids::Claim::refused)
         return reject_request(id, "its id belongs to another tunnel, or did recently");
     registry_.log.debug() << "tunnel " << static_cast<std::uint32_t>(id) << " accepted: " << line;
-    if (has_disconnected(tunnel)) {
+    // The client may have disconnected while its request was queued at a process that was suspended or has
+    // just started.
+    if (TunnelRegistry::is_at_end(tunnel)) {
         completion_.close_now(id);
         return LineResult::left_stage;
     }
-    TunnelRequest request = parsed->request;
-    tunnel.traffic_class = request.traffic_class;
+    tunnel.traffic_class = parsed->request.traffic_class;
     tunnel.answer_uncounted = true;
     if (tunnel.reject_only && !registry_.try_serve_reject_only(tunnel)) {
         ++registry_.totals.accepted;
@@ -244,9 +237,10 @@
         completion_.reject(id, 0);
         return LineResult::left_stage;
     }
-    if (!parsed->current_endpoint.empty())
-        request.deadline = std::max(request.deadline, registry_.loop.now() + resume_timeout);
-    admission_.admit(id, request, parsed->current_endpoint);
+    if (claim == request_ids::Claim::ask_peer)
+        id_claims_.begin(id, *parsed);
+    else
+        admission_.admit(id, *parsed);
     return LineResult::left_stage;
 }
 
@@ -263,16 +257,4 @@
     return true;
 }
 
-// Stores the hash of the id in the tunnel. Returns false if the id belongs to an admitted tunnel or to one
-// that was open recently: the endpoint would take both for the same tunnel. A mid-flow request may reuse the
-// id of a recently open tunnel, and also that of an admitted tunnel whose client has disconnected without
-// this process having handled it yet.
-bool Acceptor::claim_id(Tunnel& tunnel, std::string_view id, bool mid_flow) {
-    tunnel.id_hash = hash_text(id) | 1;
-    const std::uint32_t index = registry_.by_id_hash.find(tunnel.id_hash);
-    if (index == IdIndex::none) return true;
-    if (!mid_flow || index == TunnelRegistry::recently_closed) return mid_flow;
-    return has_disconnected(registry_.tunnels[index]);
-}
-
 }  // namespace lemonstair::tunnel
--- a/src/tunnel/acceptor.h
+++ b/src/tunnel/acceptor.h
@@ -6,6 +6,7 @@
 #include "balance/attempt_policy.h"
 #include "tunnel/admission.h"
 #include "tunnel/completion.h"
+#include "tunnel/id_claims.h"
 #include "tunnel/tunnel_registry.h"
 
 namespace lemonstair::tunnel {
@@ -13,8 +14,8 @@
 /// The stage for TunnelState::reading_request.
 class Acceptor final : public net::EventHandler {
   public:
-    Acceptor(TunnelRegistry& registry, Admission& admission, Completion& completion)
-        : registry_(registry), admission_(admission), completion_(completion) {}
+    Acceptor(TunnelRegistry& registry, Admission& admission, IdClaims& id_claims, Completion& completion)
+        : registry_(registry), admission_(admission), id_claims_(id_claims), completion_(completion) {}
     /// Listens on a socket of its own, or on one that the platform passed to the process. Both throw
     /// std::system_error if that fails.
     void listen_on(const net::Address& address) { listen_on(registry_.loop.system().listen_on(address)); }
@@ -45,7 +46,6 @@
     void pause_accepting();
     void update_listener_events();
     bool any_request_begun();
-    bool claim_id(Tunnel& tunnel, std::string_view id, bool mid_flow);
     LineResult handle_line(TunnelId id, std::string_view line);
     LineResult handle_readiness_check(TunnelId id);
     LineResult handle_request(TunnelId id, std::string_view line);
@@ -54,6 +54,7 @@
 
     TunnelRegistry& registry_;
     Admission& admission_;
+    IdClaims& id_claims_;
     Completion& completion_;
     net::Socket listener_;
     bool accepting_ = false, paused_ = false;
--- a/src/tunnel/admission.cpp
+++ b/src/tunnel/admission.cpp
@@ -8,6 +8,13 @@
 
 namespace lemonstair::tunnel {
 
+namespace {
+
+// How long it may take to resume a tunnel that is already open at its endpoint.
+constexpr Ticks resume_timeout = 400000;
+
+}  // namespace
+
 std::size_t Admission::capacity() const {
     const std::size_t granted = registry_.descriptors.granted();
     // A sixteenth is for connections that have not sent their request yet.
@@ -18,21 +25,26 @@
     return granted > reserved ? (granted - reserved) / 2 : 1;
 }
 
-void Admission::admit(TunnelId id, TunnelRequest request, std::string_view current_endpoint) {
+void Admission::admit(TunnelId id, const RequestLine& line) {
     Tunnel& tunnel = *registry_.find(id);
     ++registry_.totals.accepted;
+    TunnelRequest request = line.request;
+    const bool resumes = !line.current_endpoint.empty();
+    if (resumes) request.deadline = std::max(request.deadline, registry_.loop.now() + resume_timeout);
     request.deadline = std::min(request.deadline, registry_.answer_deadline);
     tunnel.deadline = request.deadline;
-    const bool full = registry_.admitted_count() >= capacity();
+    const std::size_t others =
+        registry_.admitted_count() - (tunnel.state == TunnelState::awaiting_id ? 1 : 0);
+    const bool full = others >= capacity();
     registry_.transition_to(id, TunnelState::awaiting_placement);
-    registry_.by_id_hash.put(tunnel.id_hash, static_cast<std::uint32_t>(id));
+    registry_.ids.claim(tunnel.id_hash, static_cast<std::uint32_t>(id));
     tunnel.client.set_events(POLLIN | POLLRDHUP);  // to notice a second command, which is a protocol error
     if (full) {
         ++registry_.totals.over_capacity;
         registry_.resource_counters.count_reason(Reason::node_full);
         return completion_.reject(id, 0);
     }
-    if (!current_endpoint.empty()) return dispatcher_.resume(id);
+    if (resumes) return dispatcher_.resume(id);
     tunnel.tracked = true;
     registry_.balancer_now().on_request(id, request);
 }
--- a/src/tunnel/attempt.cpp
+++ b/src/tunnel/attempt.cpp
@@ -43,17 +43,11 @@
     connect(id);
 }
 
-RequestLine AttemptRunner::request_of(const Tunnel& tunnel) const {
-    // The line was valid when it was accepted, so parsing it again cannot fail.
-    return parse_request_line(net::first_line(tunnel.request_buffer.view()),
-                              registry_.config.traffic_class_names, registry_.loop.now())
-        .value_or(RequestLine{});
-}
-
 void AttemptRunner::resume(TunnelId id) {
     Tunnel& tunnel = *registry_.find(id);
     tunnel.resuming = true;
-    tunnel.endpoint_index = registry_.endpoints.index_of(request_of(tunnel).current_endpoint);
+    tunnel.endpoint_index =
+        registry_.endpoints.index_of(registry_.request_of(tunnel, registry_.loop.now()).current_endpoint);
     // The endpoint list of a node that has just started may be older than the tunnel. Wait until discovery
     // lists the endpoint.
     if (tunnel.endpoint_index == discovery::EndpointDirectory::none)
@@ -215,7 +209,8 @@
         tunnel.outcome = Outcome::ok;
     if (tunnel.resuming) {
         tunnel.tracked = true;
-        registry_.balancer_now().adopt_open_tunnel(id, request_of(tunnel).request, endpoint);
+        registry_.balancer_now().adopt_open_tunnel(
+            id, registry_.request_of(tunnel, registry_.loop.now()).request, endpoint);
     } else {
         registry_.balancer_now().on_opened(id, tunnel.attempts - 1, endpoint,
                                            registry_.loop.now() - tunnel.attempt_started);
--- a/src/tunnel/attempt.h
+++ b/src/tunnel/attempt.h
@@ -25,13 +25,13 @@
     /// Limits the deadline of all tunnels that wait for an answer, now or later, to `deadline`: the process
     /// may be killed after it.
     void set_answer_deadline(Ticks deadline);
+    /// Handles events of a client that waits for its answer.
+    void on_client_ready(TunnelId id, short events);
     void on_tunnel_ready(TunnelId id, Side side, short events);
     void on_tunnel_timer(TunnelId id);
 
   private:
-    RequestLine request_of(const Tunnel& tunnel) const;
     void connect(TunnelId id);
-    void on_client_ready(TunnelId id, short events);
     bool on_connected(TunnelId id);
     bool may_write(TunnelId id);
     void write_request(TunnelId id);
--- a/src/tunnel/stages.h
+++ b/src/tunnel/stages.h
@@ -7,6 +7,7 @@
 #include "tunnel/attempt.h"
 #include "tunnel/completion.h"
 #include "tunnel/dispatcher.h"
+#include "tunnel/id_claims.h"
 #include "tunnel/relay.h"
 #include "tunnel/transfer.h"
 #include "tunnel/tunnel_registry.h"
@@ -37,7 +38,8 @@
     AttemptRunner attempts{registry, completion, relay};
     Dispatcher dispatcher{registry, attempts, relay, completion};
     Admission admission{registry, dispatcher, completion};
-    Acceptor acceptor{registry, admission, completion};
+    IdClaims id_claims{registry, admission, attempts, completion};
+    Acceptor acceptor{registry, admission, id_claims, completion};
 
   private:
     // Calls call(stage) with the stage for the tunnel's state. Does nothing if the tunnel no longer exists.
@@ -51,6 +53,8 @@
                 return;
             case TunnelState::reading_request:
                 return call(acceptor);
+            case TunnelState::awaiting_id:
+                return call(id_claims);
             case TunnelState::awaiting_placement:
             case TunnelState::connecting:
             case TunnelState::sending_request:
--- a/src/tunnel/transfer.cpp
+++ b/src/tunnel/transfer.cpp
@@ -115,7 +115,7 @@
         direction->buffer = registry_.pool.acquire();
         direction->buffer.append(buffered);
     }
-    if (tunnel.id_hash != 0) registry_.by_id_hash.put(tunnel.id_hash, static_cast<std::uint32_t>(id));
+    if (tunnel.id_hash != 0) registry_.ids.claim(tunnel.id_hash, static_cast<std::uint32_t>(id));
     registry_.transition_to(id, TunnelState::transferring);
     tunnel.tracked = !received.balancer_state.empty() &&
                      registry_.balancer_now().restore_tunnel(id, received.balancer_state, clock_shift_);
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -17,6 +17,7 @@
 enum class TunnelState : std::uint8_t {
     free,                // the slot is not in use
     reading_request,     // waits for the client's request line
+    awaiting_id,         // waits for the other process of this node to agree that the request claims its id
     awaiting_placement,  // waits for the balancer to choose an endpoint, also after a failed attempt
     connecting,          // attempt: the connection to the endpoint is being established
     sending_request,     // attempt: the request line is being written
@@ -31,15 +32,16 @@
 /// The name in log lines, which tools/tunnel_ledger.py parses.
 std::string_view name_of(TunnelState state);
 
-/// Whether the client has sent its request and has no final answer yet.
-constexpr bool awaits_answer(TunnelState state) {
-    return state == TunnelState::awaiting_placement || state == TunnelState::connecting ||
-           state == TunnelState::sending_request || state == TunnelState::awaiting_answer;
-}
-
 /// Whether an attempt at an endpoint is in progress.
 constexpr bool has_attempt(TunnelState state) {
-    return awaits_answer(state) && state != TunnelState::awaiting_placement;
+    return state == TunnelState::connecting || state == TunnelState::sending_request ||
+           state == TunnelState::awaiting_answer;
+}
+
+/// Whether the client has sent its request and has no final answer yet.
+constexpr bool awaits_answer(TunnelState state) {
+    return state == TunnelState::awaiting_id || state == TunnelState::awaiting_placement ||
+           has_attempt(state);
 }
 
 /// One direction of a tunnel: from its source, whose bytes are read, to its target.
--- a/src/tunnel/tunnel_registry.cpp
+++ b/src/tunnel/tunnel_registry.cpp
@@ -3,6 +3,7 @@
 #include <array>
 
 #include "balance/attempt_policy.h"
+#include "net/lines.h"
 
 namespace lemonstair::tunnel {
 
@@ -21,6 +22,8 @@
             return "free";
         case TunnelState::reading_request:
             return "reading request";
+        case TunnelState::awaiting_id:
+            return "awaiting id";
         case TunnelState::awaiting_placement:
             return "awaiting placement";
         case TunnelState::connecting:
@@ -51,18 +54,12 @@
     return id_of(index);
 }
 
-// Clients use a new id for each connection. The ids of recently open tunnels are remembered, so that none of
+// Clients use a new id for each connection. The ids of tunnels that were open are remembered, so that none of
 // them can be opened a second time.
-void TunnelRegistry::release_id(const Tunnel& tunnel, std::uint32_t index) {
-    if (by_id_hash.find(tunnel.id_hash) != index) return;
-    by_id_hash.erase(tunnel.id_hash);
-    if (tunnel.state != TunnelState::open && tunnel.state != TunnelState::migrating &&
-        tunnel.state != TunnelState::transferring)
-        return;
-    std::uint64_t& oldest = recent_id_hashes_[next_recent_++ % recent_id_hashes_.size()];
-    if (oldest != 0 && by_id_hash.find(oldest) == recently_closed) by_id_hash.erase(oldest);
-    oldest = tunnel.id_hash;
-    by_id_hash.put(tunnel.id_hash, recently_closed);
+void TunnelRegistry::release_id(const Tunnel& tunnel, std::uint32_t slot) {
+    const bool was_open = tunnel.state == TunnelState::open || tunnel.state == TunnelState::migrating ||
+                          tunnel.state == TunnelState::transferring;
+    ids.release(tunnel.id_hash, slot, was_open);
 }
 
 // Each tunnel is counted once, when its client gets its final answer. A request without a valid traffic class
@@ -85,6 +82,17 @@
     return !tunnel.client.open() || tunnel.client.peer_closed();
 }
 
+bool TunnelRegistry::is_at_end(const Tunnel& tunnel) {
+    std::array<char, 1> next{};
+    const auto peeked = tunnel.client.peek(next);
+    return peeked.ended || peeked.error != 0;
+}
+
+RequestLine TunnelRegistry::request_of(const Tunnel& tunnel, Ticks received_at) const {
+    const std::string_view line = net::first_line(tunnel.request_buffer.view());
+    return parse_request_line(line, config.traffic_class_names, received_at).value_or(RequestLine{});
+}
+
 // Checks the invariant that a connection is closed without a final line only if its client has disconnected
 // or has sent nothing.
 void TunnelRegistry::check_close(TunnelId id, const Tunnel& tunnel, TunnelState to) {
--- a/src/tunnel/tunnel_registry.h
+++ b/src/tunnel/tunnel_registry.h
@@ -3,12 +3,10 @@
 /// counts them.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <limits>
 
 #include "balance/balance.h"
-#include "balance/id_index.h"
 #include "balance/slab.h"
 #include "config/node_config.h"
 #include "discovery/endpoint_directory.h"
@@ -17,7 +15,9 @@
 #include "metrics/tunnel_counters.h"
 #include "net/buffer_pool.h"
 #include "net/loop.h"
+#include "request_ids/id_registry.h"
 #include "tunnel/descriptor_budget.h"
+#include "tunnel/request_line.h"
 #include "tunnel/tunnel.h"
 
 namespace lemonstair::tunnel {
@@ -48,8 +48,6 @@
 class TunnelRegistry {
   public:
     static constexpr Ticks no_deadline = std::numeric_limits<Ticks>::max() / 4;
-    /// Value in `by_id_hash`: the id belongs to a tunnel that was open recently.
-    static constexpr std::uint32_t recently_closed = IdIndex::none - 1;
 
     TunnelRegistry(net::EventLoop& event_loop, net::EventHandler& handler,
                    const config::NodeConfig& node_config, discovery::EndpointDirectory& directory,
@@ -100,6 +98,12 @@
     void report_violation(metrics::Invariant rule, TunnelId id, std::string_view detail);
     /// Whether the client has closed its sending side or its connection; asks the system.
     bool client_disconnected(const Tunnel& tunnel) const;
+    /// Whether the client's end is the next thing to be read from it; asks the system. An end behind unread
+    /// bytes is noticed in the next pass, before the request is sent to an endpoint.
+    static bool is_at_end(const Tunnel& tunnel);
+    /// Parses the tunnel's request line again, received at this time. It was valid when it was accepted, so
+    /// this cannot fail.
+    RequestLine request_of(const Tunnel& tunnel, Ticks received_at) const;
     /// If descriptors have become free, turns a tunnel that was accepted only for rejection into one that is
     /// served. Returns false if none are free.
     bool try_serve_reject_only(Tunnel& tunnel);
@@ -121,7 +125,7 @@
     DescriptorBudget descriptors;
     net::BufferPool pool;
     Slab<Tunnel> tunnels;
-    IdIndex by_id_hash;  // admitted tunnels -> slot; ids of recently open tunnels -> recently_closed
+    request_ids::IdRegistry ids{[this](std::uint32_t slot) { return is_at_end(tunnels[slot]); }};
     metrics::TunnelCounters tunnel_counters;
     TunnelTotals totals;
     bool ready = false;  // whether a readiness check succeeds
@@ -131,14 +135,12 @@
   private:
     void check_close(TunnelId id, const Tunnel& tunnel, TunnelState to);
     void count_final_answer(Tunnel& tunnel, TunnelState to);
-    void release_id(const Tunnel& tunnel, std::uint32_t index);
+    void release_id(const Tunnel& tunnel, std::uint32_t slot);
 
     std::size_t tunnel_count_ = 0;
     std::size_t admitted_count_ = 0;
     std::size_t closing_count_ = 0;
     std::size_t reject_only_count_ = 0;
-    std::array<std::uint64_t, 1024> recent_id_hashes_{};  // ring buffer
-    std::size_t next_recent_ = 0;
 };
 
 }  // namespace lemonstair::tunnel
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -5,84 +5,32 @@
 
 #include <csignal>
 
-#include "hot_restart/packets.h"
 #include "hot_restart/state_machine.h"
-#include "node_fixture.h"
+#include "hot_restart_fixture.h"
 
 using namespace fake;
 using hot_restart::Event;
 using hot_restart::Role;
 
-namespace {
-
-NodeFixture::Options restartable(const std::string& mode = "pass", int max_descriptors = 256) {
-    return {.mode = mode, .max_descriptors = max_descriptors, .admin = true, .inherits_listener = true};
-}
-
-std::string state_of(NodeFixture& fixture) {
-    const std::string response = fixture.get("/healthcheck");
-    const auto key = response.find("\"state\":\"");
-    return key == std::string::npos ? response
-                                    : response.substr(key + 9, response.find('"', key + 9) - key - 9);
-}
-
-// Whether the old process has transferred all tunnels, and the new one has at least one.
-bool all_transferred(NodeFixture& fixture) {
-    return fixture.next->resource_usage().tunnels > 0 && fixture.node->resource_usage().tunnels == 0;
-}
-
-// The peer of a node's process on the hot restart socket, played by the test.
-struct FakePeer {
-    net::Kernel kernel;
-    net::Fd fd;
-    std::string path;
-    explicit FakePeer(NodeFixture& fixture) : path(fixture.parse_config().hot_restart_path) {}
-    bool connect() {
-        fd = kernel.connect_local(path);
-        return fd.open();
-    }
-    void send(std::string_view bytes) { kernel.send_packet(fd.get(), bytes, {}); }
-    void send(const hot_restart::Packet& packet) { send(hot_restart::encode(packet)); }
-    std::vector<hot_restart::PacketKind> received_kinds;
-    bool disconnected = false;
-    // Receives packets until the condition holds; false where it does not within this time.
-    bool receive_until(NodeFixture& fixture, const std::function<bool()>& condition, int ms = 3000) {
-        std::vector<char> buffer(hot_restart::max_packet_bytes);
-        return fixture.run_until(
-            [&] {
-                for (;;) {
-                    std::vector<net::Fd> descriptors;
-                    const auto result = kernel.receive_packet(fd.get(), buffer, descriptors);
-                    disconnected = disconnected || result.ended || result.error != 0;
-                    if (result.bytes == 0) break;
-                    hot_restart::Packet packet;
-                    if (hot_restart::decode({buffer.data(), result.bytes}, packet) ==
-                        hot_restart::DecodeResult::ok)
-                        received_kinds.push_back(packet.kind);
-                }
-                return condition();
-            },
-            ms);
-    }
-    bool has_received(hot_restart::PacketKind kind) const {
-        return std::find(received_kinds.begin(), received_kinds.end(), kind) != received_kinds.end();
-    }
-};
-
-}  // namespace
-
 TEST_CASE("in every pair of roles of two processes exactly one process is the node") {
     const std::pair<Role, Role> pairs[] = {{Role::offering_state, Role::requesting_state},
+                                           {Role::transferring, Role::taking_over},
                                            {Role::transferring, Role::receiving},
                                            {Role::transferred, Role::receiving}};
     for (const auto& [old_role, new_role] : pairs)
         CHECK(hot_restart::is_active(old_role) != hot_restart::is_active(new_role));
+    // Of the old process in these roles and the new one, at most one accepts clients.
+    for (const Role old_role : {Role::offering_state, Role::transferring, Role::transferred})
+        for (const Role new_role : {Role::requesting_state, Role::taking_over})
+            CHECK((!hot_restart::accepts_clients(old_role) || !hot_restart::accepts_clients(new_role)));
     CHECK(next(Role::standalone, Event::request_received) == Role::offering_state);
     CHECK(next(Role::offering_state, Event::peer_ready) == Role::transferring);
     CHECK(!next(Role::standalone, Event::peer_ready));
     CHECK(!next(Role::receiving, Event::peer_ready));
+    CHECK(next(Role::requesting_state, Event::state_received) == Role::taking_over);
+    CHECK(next(Role::taking_over, Event::peer_stopped) == Role::receiving);
     for (const Role role : {Role::requesting_state, Role::offering_state, Role::transferring,
-                            Role::transferred, Role::receiving})
+                            Role::transferred, Role::taking_over, Role::receiving})
         CHECK(next(role, Event::disconnected) == Role::standalone);
 }
 
