--- a/src/request_ids/id_registry.cpp
+++ b/src/request_ids/id_registry.cpp
@@ -193,8 +193,9 @@
     complete_report_pending_ = true;
 }
 
-// Ids that were closed recently are in the order in which they were closed, the others in that of hashes. An
-// id that this process has asked for counts as claimed, since the answer may be under way.
+// Ids that were closed recently are in the order in which they were closed, the others in that of hashes. Ids
+// of a process that has gone are reported too, since a third process may take over before they expire. An id
+// that this process has asked for counts as claimed, since the answer may be under way.
 void IdRegistry::begin_complete_report() {
     unreported_.clear();
     for (std::size_t i = 0; i < recently_closed_.size(); ++i) {
@@ -202,6 +203,10 @@
         if (id_hash != 0 && owner_of(id_hash) == recently_closed)
             unreported_.push_back({id_hash, IdState::recently_closed});
     }
+    std::vector<std::uint64_t> lost(lost_peer_ids_.begin(), lost_peer_ids_.end());
+    std::sort(lost.begin(), lost.end());
+    for (const std::uint64_t id_hash : lost)
+        if (!is_tunnel(owner_of(id_hash))) unreported_.push_back({id_hash, IdState::recently_closed});
     const auto first_claimed = static_cast<std::ptrdiff_t>(unreported_.size());
     for (const auto& [id_hash, owner] : owners_)
         if (is_tunnel(owner)) unreported_.push_back({id_hash, IdState::claimed});
--- a/tests/fault_injection.h
+++ b/tests/fault_injection.h
@@ -35,6 +35,7 @@
     ready_while_draining,
     transferred_tunnel_lost,
     ready_packet_lost,
+    id_reports_empty,
     admin_request_unanswered
 };
 
@@ -136,6 +137,14 @@
             (fault_ == Fault::transferred_tunnel_lost && !descriptors.empty() && ++count_ % 3 == 0) ||
             (fault_ == Fault::ready_packet_lost && ready);
         if (lost) return {.bytes = bytes.size()};
+        const bool reports_ids =
+            bytes.size() > kind_at && bytes[kind_at] == static_cast<char>(hot_restart::PacketKind::ids);
+        if (fault_ == Fault::id_reports_empty && reports_ids) {
+            const std::string empty =
+                hot_restart::encode({.kind = hot_restart::PacketKind::ids, .flag = true});
+            real_.send_packet(fd, empty, {});
+            return {.bytes = bytes.size()};
+        }
         return real_.send_packet(fd, bytes, descriptors);
     }
     net::IoResult receive_packet(int fd, std::span<char> into, std::vector<net::Fd>& descriptors) override {
--- a/tests/hot_restart_ids_test.cpp
+++ b/tests/hot_restart_ids_test.cpp
@@ -310,6 +310,28 @@
     CHECK(is_answered(fixture, other.client, "UP r\r\n"));
 }
 
+// While neither process accepts clients, the death of either must not leave the node without one.
+TEST_CASE("a new process that waits for the old one's confirmation serves at once when the old one dies") {
+    NodeFixture fixture(restartable());
+    FakePeer old_process(fixture);
+    kill_old_process(fixture);
+    REQUIRE(old_process.listen());
+    fixture.upgrade();
+    REQUIRE(old_process.accept());
+    const std::string line = fixture.open_line();
+    const std::string payload = hot_restart::encode_ids({{hash_of(line), request_ids::IdState::claimed}});
+    old_process.send({.kind = PacketKind::ids, .flag = true, .payload = payload});
+    old_process.send({.kind = PacketKind::state_complete});
+    CHECK(old_process.receive_until(fixture, [&] { return old_process.has_received(PacketKind::ready); }));
+    old_process.fd.close();
+    CHECK(fixture.run_until([&] { return state_of(fixture) == "serving"; }, 100));
+    TestConnection copy = fixture.connect_client(line);
+    CHECK(is_answered(fixture, copy, "ERR"));
+    PendingRequest other(fixture);
+    other.attempt.send("UP r\r\n");
+    CHECK(is_answered(fixture, other.client, "UP r\r\n"));
+}
+
 // Programs before the exchange of ids take no part in it: what they do not know must not break the restart.
 TEST_CASE(
     "with an old or a new process of an earlier revision the restart goes on without an exchange of ids") {
--- a/tests/request_ids_test.cpp
+++ b/tests/request_ids_test.cpp
@@ -270,6 +270,14 @@
     CHECK(ids.lost_peer_ids() == 0);
 }
 
+TEST_CASE("the process that takes over next is told the ids of one that has gone") {
+    IdRegistry ids([](Slot) { return false; });
+    ids.on_peer_report({.begins_complete = true, .left = 0, .changes = {{9, IdState::claimed}}});
+    ids.forget_peer(0);
+    ids.set_authority(Authority::decides);
+    CHECK(complete_report(ids) == std::vector<IdChange>{{9, IdState::recently_closed}});
+}
+
 TEST_CASE("a report of more ids than a process can have is refused") {
     IdRegistry ids([](Slot) { return false; });
     IdReport report;
--- a/tests/simulation_faults_test.cpp
+++ b/tests/simulation_faults_test.cpp
@@ -109,3 +109,16 @@
             [&](const simulation::Violation& violation) { return violation.rule == found.rule(); }));
     }
 }
+
+// The scenario of copied ids must find what it was written for.
+TEST_CASE("processes that report no ids to each other run a copied request twice") {
+    Scenario scenario =
+        simulation::read_scenario(std::string(LEMONSTAIR_SCENARIOS) + "/copied_ids_in_an_upgrade.toml");
+    int broken = 0;
+    for (scenario.seed = 1; scenario.seed <= 40; ++scenario.seed) {
+        fault_injection::FaultInjector injector(fault_injection::Fault::id_reports_empty);
+        const std::string rule = simulation::play(scenario, nullptr, &injector).rule();
+        broken += rule == "at_once" || rule == "line" || rule == "effect" ? 1 : 0;
+    }
+    CHECK(broken > 0);
+}
