--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -214,10 +214,10 @@
     const bool alone = to == hot_restart::Role::standalone;
     stages_.registry.ready = ready();
     stages_.registry.descriptors.set_sibling_reserve(alone ? reserve_for_new_process : reserve_for_sibling);
-    if (from == hot_restart::Role::taking_over)
-        accept_clients();
-    else if (hot_restart::is_active(from) != hot_restart::is_active(to))
-        hot_restart::is_active(to) ? serve_again() : stop_serving();
+    const bool was_active = hot_restart::is_active(from), active = hot_restart::is_active(to);
+    if (from == hot_restart::Role::taking_over) accept_clients();
+    if (active && !was_active) serve_again();
+    if (!active && was_active) stop_serving();
     if (alone) stages_.id_claims.on_peer_gone();
 }
 
