Test of a line in the last pass: the clock is moved instead of waited for

Trace: the test waited 400 ms with passes that last until the next timer. When the pass that begins before 400 ms ends late, its timers include the first exit check at 500 ms, and the node exits as it should, before the line is sent. The endpoints' check that ends that pass is due only some moments before the exit check.

Change: short passes for 50 ms, then the node's clock moves on by 0.75 s. As strict: the poll of the same pass finds no event, the exit check is due in it, and the line comes after the poll.

--- a/tests/graceful_shutdown_test.cpp
+++ b/tests/graceful_shutdown_test.cpp
@@ -81,13 +81,15 @@
         TestConnection client;
         if (accepted) client = fixture.connect_client();
         fixture.run_for(20);
-        const auto signalled = Clock::now();
         std::raise(SIGTERM);
-        REQUIRE(fixture.run_until([&] { return ms_since(signalled) >= 400; }, 2000));
+        fixture.kernel.shared = true;  // short passes, so that the node reads the signal and does no more
+        fixture.run_for(50);
+        REQUIRE(fixture.running);
         const std::string line = fixture.open_line();
         // In the next pass no client waits for an answer and all timers are due, so the node would exit. The
         // poll of that pass finds no event; the line arrives after it.
-        stall(400);
+        constexpr Ticks past_first_exit_check = 7500;
+        fixture.kernel.clock_ahead += past_first_exit_check;
         fixture.kernel.after_poll = [&] {
             if (!accepted) client = fixture.connect_client();
             client.send(line);
