--- a/review/support-2/standins.h
+++ b/review/support-2/standins.h
@@ -10,11 +10,13 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -33,6 +35,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -98,7 +101,7 @@
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
     sockaddr_in address = socket_address(endpoint);
     socklen_t size = sizeof address;
-    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || ::listen(fd, 512) != 0 ||
+    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || ::listen(fd, 4096) != 0 ||
         ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
         ::close(fd);
         return -1;
@@ -413,6 +416,24 @@
         : name(std::move(node_name)), listen(free_endpoint(last_byte)), folder_(std::move(folder)) {}
     const std::string name;
     const Endpoint listen;
+    rlim_t max_descriptors = 0;  // of the process; 0: as this one
+    Endpoint admin;  // where operators call; none if it has no address
+    // The platform holds the clients' listening socket, which each process inherits as descriptor 5. To be called before start.
+    void hold_listener() {
+        Endpoint endpoint = listen;
+        held_listener_ = listen_on(endpoint);
+        if (held_listener_ < 0) std::_Exit(could_not_run);
+    }
+    pid_t process() const { return pid_; }
+    // Whether the operators' call for readiness is answered with yes.
+    bool reports_ready() const {
+        Connection connection;
+        std::string line;
+        return connection.connect(admin) && connection.send("GET /healthcheck HTTP/1.1\r\nHost: node\r\n\r\n") &&
+               connection.read_line(line, 1) == Connection::Read::line && line.find(" 200") != std::string::npos;
+    }
+    // The process that runs, which goes on when another one is started in its place.
+    pid_t release_process() { return std::exchange(pid_, -1); }
     // `configuration`: all but name and listen.
     void start(const std::string& configuration, int number_of_start = 1) {
         const std::string base = folder_ + "/" + name, path = base + ".json";
@@ -424,6 +445,8 @@
         std::vector<std::string> environment{"NODE_NAME=" + name, "NODE_LISTEN=" + listen.text(), "NODE_CONFIG=" + path,
                                              "TMPDIR=" + tmp, "PATH=/usr/bin:/bin"};
         if (const char* level = std::getenv("LEMONSTAIR_LOG")) environment.push_back(std::string("LEMONSTAIR_LOG=") + level);
+        if (held_listener_ >= 0) environment.emplace_back("NODE_INHERITED_FD=5");
+        if (!admin.ip.empty()) environment.push_back("NODE_ADMIN_ADDR=" + admin.text());
         std::vector<char*> envp;
         for (std::string& each : environment) envp.push_back(each.data());
         envp.push_back(nullptr);
@@ -433,6 +456,11 @@
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             ::dup2(out, 1);
             ::dup2(out, 2);
+            if (held_listener_ >= 0) ::dup2(held_listener_, 5);
+            if (max_descriptors > 0) {
+                const rlimit limit{max_descriptors, max_descriptors};
+                ::setrlimit(RLIMIT_NOFILE, &limit);
+            }
             ::execle("/bin/sh", "sh", "-c", command.c_str(), static_cast<char*>(nullptr), envp.data());
             ::_exit(127);
         }
@@ -481,6 +509,7 @@
   private:
     std::string folder_;
     pid_t pid_ = -1;
+    int held_listener_ = -1;
 };
 
 // A client: one connection after the other. It sends its request, waits, and then sends a line every 2 s.
@@ -517,6 +546,7 @@
             result.ended_at = now();
             return result;
         }
+        result.sent_at = now();  // a request's time counts from its last byte
         std::string line;
         const auto read = connection.read_line(line, wait_ms / 1000.0 + 2);
         result.answered_at = now();
@@ -556,6 +586,56 @@
     }
 };
 
+// Clients that connect, say nothing, and come again as soon as they are turned away.
+class Crowd {
+  public:
+    void start(const Endpoint& node, int size) {
+        thread_ = std::thread([this, node, size] {
+            std::vector<int> fds(static_cast<std::size_t>(size), -1);
+            while (!stop_) {
+                for (int& fd : fds) {
+                    if (fd >= 0) continue;
+                    fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+                    const sockaddr_in address = socket_address(node);
+                    static_cast<void>(::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address));
+                }
+                sleep_for(0.1);
+                for (int& fd : fds) {
+                    char bytes[256];
+                    const ssize_t n = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
+                    if (n < 0 && (errno == EAGAIN || errno == ENOTCONN)) continue;
+                    ::close(fd);
+                    fd = -1;
+                    ++turned_away_;
+                }
+            }
+            for (const int fd : fds)
+                if (fd >= 0) ::close(fd);
+        });
+    }
+    void stop() {
+        stop_ = true;
+        if (thread_.joinable()) thread_.join();
+    }
+    int turned_away() const { return turned_away_; }
+
+  private:
+    std::thread thread_;
+    std::atomic<bool> stop_{false};
+    std::atomic<int> turned_away_{0};
+};
+
+// Lets this process hold as many descriptors as it may.
+inline void raise_descriptor_limit(rlim_t wanted) {
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = std::min(limit.rlim_max, std::max(limit.rlim_cur, wanted));
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    if (limit.rlim_cur >= wanted) return;
+    record("the system allows this process only %llu descriptors", static_cast<unsigned long long>(limit.rlim_cur));
+    std::_Exit(could_not_run);
+}
+
 // Ends the case when it takes too long.
 inline void limit_time(int seconds) {
     std::thread([seconds] {
