Review case 8: a reload is dropped for good while idle clients hold the descriptors

Cause: a configuration that cannot be opened for want of a descriptor is tried again for 2.5 s after SIGHUP and then never, so that a node keeps calling the old discovery after the crowd has left. Nothing of the project's code is changed.

--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,14 +1,14 @@
-// Discovery is down for some seconds and hosts begin to drain after its return, while idle clients fill the descriptors. See
-// claim.txt.
+// A new configuration moves discovery while idle clients fill the descriptors, soon after discovery was down. See claim.txt.
 #include "../support-2/standins.h"
 
 using namespace review;
 
 namespace {
 
-constexpr int node_count = 3, host_count = 3, sockets = 256;
+constexpr int node_count = 2, host_count = 3, sockets = 256;
 constexpr double requests_per_second = 4;  // at each node
-constexpr double outage = 4, drain_after = 2, watched = 30;
+constexpr double outage = 4, reload_after = 1, old_place_closes_after = 1.5;
+constexpr double drain_after = 6, crowd_leaves_after = 1, watched = 30;
 constexpr double told_within = 6, grace = 0.25, slack = 0.05;
 
 class DrainingHost final : public Host {
@@ -31,7 +31,7 @@
 std::string configuration(Discovery& discovery, int me) {
     return "\"discovery\":\"" + discovery.endpoint().text() + "\",\"seed\":\"8c1f30d27a5be96" + std::to_string(me) +
            "\",\"limits\":{\"cores\":1.0,\"memory_mb\":96,\"sockets\":" + std::to_string(sockets) +
-           "},\"known\":" + discovery.whole_list() + R"(,"settings":{"balancers":3,"me":)" + std::to_string(me) +
+           "},\"known\":" + discovery.whole_list() + R"(,"settings":{"balancers":2,"me":)" + std::to_string(me) +
            R"(,"zone":0,"zones":["a"],"granularity":0.005,"membership_mode":"ask","weight_kind":"nominal",
 "domain":{"mode":"pass","groups":false,"park":6.0},
 "limits":{"max_setups":3,"connect_timeout":0.25,"probing":true,"peers":false,"cancel":true},
@@ -48,12 +48,14 @@
     const int crowd_size = std::getenv("CROWD") != nullptr ? std::atoi(std::getenv("CROWD")) : 1500;
     raise_descriptor_limit(static_cast<rlim_t>(node_count * crowd_size + 600));
     std::vector<std::unique_ptr<DrainingHost>> hosts;
-    Discovery discovery(1);
+    Discovery discovery(1), new_discovery(9);
     discovery.start();
+    new_discovery.start();
     for (int i = 0; i < host_count; ++i) {
         hosts.push_back(std::make_unique<DrainingHost>("s-" + std::to_string(i), 10 + i));
         hosts.back()->start();
         discovery.add(*hosts.back());
+        new_discovery.add(*hosts.back());
     }
     std::vector<std::unique_ptr<Node>> nodes;
     for (int i = 0; i < node_count; ++i) {
@@ -88,13 +90,23 @@
     }
     sleep_for(outage);
     if (with_trouble()) discovery.come_back();
-    sleep_for(drain_after);
-    discovery.set_phase(hosts[0]->id, "terminating");
-    const double told_at = now() + told_within;  // at the latest
+    sleep_for(reload_after);
+    for (int i = 0; i < node_count; ++i) {
+        nodes[i]->replace_configuration(configuration(new_discovery, i));
+        nodes[i]->signal(SIGHUP);
+    }
+    discovery.stop();  // the old place takes no new connection
+    sleep_for(old_place_closes_after);
+    discovery.go_down();
+    sleep_for(drain_after - old_place_closes_after);
+    new_discovery.set_phase(hosts[0]->id, "terminating");
+    const double told_at = now() + told_within;  // at the latest; 4 s after SIGHUP is earlier
+    sleep_for(crowd_leaves_after);
+    for (const auto& crowd : crowds) crowd->stop();
+    if (with_trouble()) record("the clients that say nothing have gone");
     sleep_for(watched);
     stop = leave = true;
     for (std::thread& source : sources) source.join();
-    for (const auto& crowd : crowds) crowd->stop();
     bool failed = false;
     for (const auto& node : nodes) {
         failed = failed || node->ended(0);
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Idle clients keep a node from discovery. Exit status: 0 the rule held, 1 it was broken, 2 could not run.
+# A new configuration while idle clients fill the descriptors. Exit status: 0 the rule held, 1 it was broken, 2 could not run.
 folder=$(dirname "$0")
 exec sh "$folder/../support-2/run-case.sh" "$folder"
--- a/review/support-2/standins.h
+++ b/review/support-2/standins.h
@@ -434,6 +434,14 @@
     }
     // The process that runs, which goes on when another one is started in its place.
     pid_t release_process() { return std::exchange(pid_, -1); }
+    // The file is replaced as a whole.
+    void replace_configuration(const std::string& configuration) const {
+        const std::string path = folder_ + "/" + name + ".json";
+        std::ofstream(path + ".new") << "{\"name\":\"" << name << "\",\"listen\":\"" << listen.text() << "\"," << configuration
+                                     << "}";
+        std::rename((path + ".new").c_str(), path.c_str());
+        record("the configuration of node %s is replaced", name.c_str());
+    }
     // `configuration`: all but name and listen.
     void start(const std::string& configuration, int number_of_start = 1) {
         const std::string base = folder_ + "/" + name, path = base + ".json";
