Review case 10: after an outage pushed lists are called for too late for a short grace

Cause: where lists are pushed, what discovery has at its return counts as told at once, and the watch is opened again up to 1.5 s later, which is longer than a grace of 0.25 s. Change: a case with its stand-ins; nothing of the project's code is changed.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# A host drains while discovery is down. Exit status: 0 the rule held, 1 it was broken, 2 could not run.
+folder=$(dirname "$0")
+exec sh "$folder/../support-2/run-case.sh" "$folder"
