--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -46,7 +46,7 @@
 int main(int argc, char** argv) {
     const std::string folder = begin_case(argc, argv);
     const int crowd_size = std::getenv("CROWD") != nullptr ? std::atoi(std::getenv("CROWD")) : 1500;
-    raise_descriptor_limit(static_cast<rlim_t>(node_count * crowd_size + 600));
+    raise_descriptor_limit(static_cast<rlim_t>(node_count * crowd_size + 1200));
     std::vector<std::unique_ptr<DrainingHost>> hosts;
     Discovery discovery(1);
     discovery.start();
