Hot restart: a replaced process goes on following a pushed endpoint list

Cause: Node::stop_serving closed the watch of the replaced process, which goes on placing the clients that it accepted, by the list of the hand-over.

Change: where lists are pushed the watch stays, and is reopened like any other. Polled lists are left to the new process as before: an answer to either counts as told to the node.

--- a/src/node/endpoint_list_client.cpp
+++ b/src/node/endpoint_list_client.cpp
@@ -21,9 +21,9 @@
 
 }  // namespace
 
-EndpointListClient::EndpointListClient(tunnel::TunnelRegistry& registry, std::function<bool()> owns_node)
+EndpointListClient::EndpointListClient(tunnel::TunnelRegistry& registry, std::function<bool()> follows_list)
     : registry_(registry),
-      owns_node_(std::move(owns_node)),
+      follows_list_(std::move(follows_list)),
       watch_(registry.loop, registry.pool, registry.config.discovery, *this, registry.log,
              registry.resource_counters),
       random_(registry.config.balancer.seed) {
@@ -43,9 +43,8 @@
     if (!must_poll()) schedule_call(next_hedge_at());
 }
 
-void EndpointListClient::stop() {
-    next_call_at_ = 0;
-    watch_.stop();
+void EndpointListClient::on_replaced() {
+    if (must_poll()) watch_.stop();
 }
 
 void EndpointListClient::schedule_call(Ticks at) {
@@ -65,7 +64,7 @@
 void EndpointListClient::on_timer(std::uint64_t) {
     if (next_call_at_ == 0 || registry_.loop.now() < next_call_at_) return;
     next_call_at_ = 0;
-    if (owns_node_() && !watch_.is_live()) call_again();
+    if (follows_list_() && !watch_.is_live()) call_again();
 }
 
 void EndpointListClient::call_again() {
@@ -81,8 +80,8 @@
     if (!must_poll()) open();
 }
 
-void EndpointListClient::open_if_owner() {
-    if (owns_node_()) open();
+void EndpointListClient::open_if_following() {
+    if (follows_list_()) open();
 }
 
 bool EndpointListClient::follow_config() {
--- a/src/node/endpoint_list_client.h
+++ b/src/node/endpoint_list_client.h
@@ -18,18 +18,20 @@
 
 class EndpointListClient final : public net::EventHandler, discovery::WatchListener {
   public:
-    /// `owns_node`: returns whether this process, of the two in a hot restart, is the one that calls
-    /// discovery.
-    EndpointListClient(tunnel::TunnelRegistry& registry, std::function<bool()> owns_node);
+    /// `follows_list`: returns whether this process, of the two in a hot restart, may call discovery.
+    EndpointListClient(tunnel::TunnelRegistry& registry, std::function<bool()> follows_list);
     /// Opens the watch unless it is open or being opened.
     void open();
     /// Opens the watch if discovery sends updates by itself. If it must be polled, the balancer requests each
     /// call.
     void open_if_notified();
-    /// Opens the watch if this process is the one that calls discovery.
-    void open_if_owner();
+    /// Opens the watch if this process may call discovery.
+    void open_if_following();
     bool is_open() const { return watch_.is_open(); }
-    void stop();
+    /// This process has been replaced in a hot restart, and may still place clients that it accepted before.
+    /// It goes on following a pushed list. A polled one it leaves to the new process: an answer to either of
+    /// them counts as told to the node.
+    void on_replaced();
     /// Applies a new configuration: if discovery has moved, closes the old watch and returns true.
     bool follow_config();
     /// After a reload: opens a watch at once, without backoff from earlier failures. An open one stays open.
@@ -55,7 +57,7 @@
     void on_watch_lost(discovery::CallPhase phase) override;
 
     tunnel::TunnelRegistry& registry_;
-    std::function<bool()> owns_node_;
+    std::function<bool()> follows_list_;
     discovery::Watch watch_;
     backoff::PushedListWaits waits_;
     backoff::Backoff backoff_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -64,7 +64,7 @@
                  stages_.registry.balancer_now().on_gossip(node, bytes);
              }),
       balancer_(stages_, peers_, initial_endpoints, std::move(make_balancer)),
-      endpoint_list_(stages_.registry, [this] { return owns_node(); }),
+      endpoint_list_(stages_.registry, [this] { return follows_endpoint_list(); }),
       health_checker_(loop_, stages_.registry.pool, endpoints_, *this, config_, counters_),
       status_log_(stages_.registry, health_checker_),
       admin_server_(loop_, *this, log_),
@@ -163,7 +163,7 @@
         case DeferredActions::Kind::check_health:
             return check_health(action.endpoint);
         case DeferredActions::Kind::request_endpoint_list:
-            return endpoint_list_.open_if_owner();
+            return endpoint_list_.open_if_following();
     }
 }
 
@@ -234,10 +234,14 @@
     endpoint_list_.open_if_notified();
 }
 
+bool Node::follows_endpoint_list() const {
+    return owns_node() || (is_handed_over() && !config_.balancer.must_poll);
+}
+
 void Node::stop_serving() {
     stages_.acceptor.set_accepting(false);
     peers_.close();
-    endpoint_list_.stop();
+    endpoint_list_.on_replaced();
     health_checker_.stop();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -64,6 +64,7 @@
     bool owns_node() const { return hot_restart::is_active(hot_restart_.role()); }
     bool accepts_clients() const { return hot_restart::accepts_clients(hot_restart_.role()); }
     bool is_handed_over() const { return hot_restart::is_replaced(hot_restart_.role()); }
+    bool follows_endpoint_list() const;
     void execute(const DeferredActions::Action& action);
     void check_health(std::uint32_t endpoint);
     void on_config_reloaded(const std::string& restart_keys);
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -3,7 +3,12 @@
 // other process is stuck, invalid, or dies half way.
 #include <doctest/doctest.h>
 
+#include <array>
 #include <csignal>
+#include <cstdio>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "hot_restart/state_machine.h"
 #include "hot_restart_fixture.h"
@@ -200,6 +205,48 @@
     CHECK(fixture.run_until([&] { return !fixture.running; }, 4000));
 }
 
+// Guards against a replaced process that places clients by the endpoint list of the moment when it was
+// replaced.
+TEST_CASE("a replaced process is told of drains, and sends no late client to an endpoint that drains") {
+    NodeFixture::Options options = restartable("proxy");
+    options.drain_grace = "0.25";
+    NodeFixture fixture(options);
+    std::vector<TestConnection> watches;
+    const auto accept_watches = [&](std::size_t wanted) {
+        return fixture.run_until([&] {
+            TestConnection call = fixture.discovery.accept();
+            if (call.fd.open()) watches.push_back(std::move(call));
+            return watches.size() >= wanted && watches.back().has_received("\r\n\r\n");
+        });
+    };
+    REQUIRE(accept_watches(1));
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    watches[0].send(head + "1\r\n\n\r\n");
+    // Clients of the old process whose first lines come late, and so are placed by it.
+    std::vector<TestConnection> late_clients;
+    late_clients.reserve(8);
+    for (int i = 0; i < 8; ++i) late_clients.push_back(fixture.connect_client("OPEN "));
+    REQUIRE(fixture.run_until([&] { return fixture.node->resource_usage().tunnels == 8; }));
+    fixture.upgrade();
+    REQUIRE(accept_watches(2));
+    REQUIRE(fixture.run_until([&] { return state_of(fixture) == "serving"; }));
+    const std::string list = R"({"revision":7,"complete":false,"members":[)" +
+                             NodeFixture::member("a", fixture.server_a, "terminating") + "]}\n";
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", list.size());
+    watches[1].send(head);
+    for (TestConnection& watch : watches) watch.send(size.data() + list + "\r\n");
+    fixture.run_for(300);
+    for (std::size_t i = 0; i < late_clients.size(); ++i) {
+        late_clients[i].send("2" + std::to_string(i) + " k c=chat,d=2000\r\n");
+        const TestListener* reached = nullptr;
+        TestConnection attempt = fixture.accept_attempt(&reached);
+        CHECK(reached == &fixture.server_b);
+        attempt.send("UP r\r\n");
+        CHECK(fixture.run_until([&] { return late_clients[i].has_received("UP r\r\n"); }));
+    }
+}
+
 TEST_CASE("a socket file that a dead process left behind does not hold up the start") {
     NodeFixture fixture(restartable());
     const std::string path = fixture.parse_config().hot_restart_path;
