Simulation: discovery sends changes only behind the answer to a call

Cause: the fake sent changes and empty lines on a call whose request it had read but not answered yet, in front of the answer's head. The node dropped such a call, and the invariants took the node for told: one of 300 processes "went to server 0 322 ms after its node was told" by a discovery that broke off its answers (process harness, cuts_answers 2, 300 processes).

Change: changes and empty lines follow the answer, which has all changes of before.

--- a/src/fakes/discovery.cpp
+++ b/src/fakes/discovery.cpp
@@ -179,6 +179,7 @@
 void FakeDiscovery::answer(std::uint32_t index) {
     Request& request = requests_[index];
     if (!may_send_to(request)) return;
+    request.answered = true;
     environment_.network.write(request.end, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true);
     if (request.known_revision == revision_ && cut_ == Cut::none) return write_chunk(index, "");
     // A revision that this service never gave out is answered with the whole list.
@@ -223,7 +224,7 @@
             return answer(index);
         case keepalive:
             for (std::uint32_t i = 0; i < requests_.size(); ++i)
-                if (may_send_to(requests_[i]) && requests_[i].watches) write_chunk(i, "");
+                if (may_send_to(requests_[i]) && requests_[i].answered) write_chunk(i, "");
             return environment_.events.schedule(environment_.now() + keepalive_interval, *this, event);
         case change_due: {
             const Change& change = pending_changes_[index];
@@ -235,7 +236,7 @@
                 change.server, change.entry.phase == DiscoveryEntry::Phase::active);
             const int corrupt = std::exchange(corrupt_, 0);
             for (std::uint32_t i = 0; i < requests_.size(); ++i) {
-                if (!may_send_to(requests_[i]) || !requests_[i].watches) continue;
+                if (!may_send_to(requests_[i]) || !requests_[i].answered) continue;
                 if (corrupt == 1)
                     write_chunk(i, "{\"revision\":");  // the node drops the watch and opens a new one
                 if (corrupt == 1) continue;
--- a/src/fakes/discovery.h
+++ b/src/fakes/discovery.h
@@ -76,9 +76,10 @@
         End end;
         LineReader reader;
         std::uint64_t known_revision = 0;
-        // watches: the whole request was received; changes are sent from now on.
+        // watches: the whole request was received; answered: changes are sent from now on.
         // forgotten: nothing is sent any more, though the connection stays open.
-        bool request_line_received = false, watches = false, closed = false, forgotten = false;
+        bool request_line_received = false, watches = false, answered = false, closed = false,
+             forgotten = false;
         Machine node = 0;
     };
     enum Kind : std::uint64_t { answer_request, keepalive, change_due, delivered, retire_due };
