Reload: the next call beside one that hangs is due by the new drain grace

A reload that shortens the grace while discovery accepts calls and says nothing left the next call where the old grace had put it.

Cause: EndpointListClient::reopen did nothing while a call was open.

Change: the scheduled call is brought forward to the new wait.

--- a/src/node/endpoint_list_client.cpp
+++ b/src/node/endpoint_list_client.cpp
@@ -92,8 +92,10 @@
     return moved;
 }
 
-// The last list stays in use until the new watch delivers one.
+// The last list stays in use until the new watch delivers one. The next call beside one that hangs is due by
+// the new configuration.
 void EndpointListClient::reopen() {
+    if (next_call_at_ != 0 && watch_.is_open()) schedule_call(std::min(next_call_at_, next_hedge_at()));
     if (watch_.is_open()) return;
     backoff_.on_success();
     notify_balancer(EndpointListKind::moved);
--- a/tests/discovery_outage_test.cpp
+++ b/tests/discovery_outage_test.cpp
@@ -127,6 +127,21 @@
     check_all_events(Outage::breaks_off_answers);
 }
 
+// Guards against a call that was put off by the grace of before and so comes too late for the new one.
+TEST_CASE("a reload that shortens the drain grace counts for the outage that lasts") {
+    NodeFixture fixture({.drain_grace = "10"});
+    FailingDiscovery discovery(fixture, Outage::says_nothing);
+    discovery.answer_once();
+    discovery.stay_down_for(outage_ms);
+    const std::string old_grace = R"("stop_sending_within":10)";
+    fixture.config_text.replace(fixture.config_text.find(old_grace), old_grace.size(),
+                                R"("stop_sending_within":0.25)");
+    std::raise(SIGHUP);
+    discovery.stay_down_for(50);
+    discovery.come_back();
+    CHECK(discovery.time_to_next_call() <= longest_wait);
+}
+
 // The calls of an outage are many in a second; a line for each would hide everything else.
 TEST_CASE("an outage of discovery is logged once, not once a call") {
     std::array<int, 2> pipe_ends{};
